Workspace skeleton, design page and shared domain types

Cause: the project starts empty. The design page fixes modules, state and its owners, messages and behaviour under failure before code is written. Ruled out: stateright as the model checker (not available from the registry); a small explorer of our own takes its place in the tests.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool for oleandertiller.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the load and experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership and configuration agreement without sockets or clocks.
--- /dev/null
+++ b/crates/language/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/crates/model/src/codec.rs
@@ -0,0 +1,46 @@
+//! Encoding of messages between nodes: `bincode` with a size limit.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Version of the messages between nodes; nodes refuse any other.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Largest encoded message, in bytes: a full intent document of up to 1 MB with room to spare.
+pub const MESSAGE_MAX_BYTES: usize = 2 << 20;
+
+/// Why a message could not be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CodecError {
+    /// The bytes are not a message of the expected type, or it is over the size limit.
+    Malformed,
+    /// Bytes are left over after the message.
+    TrailingBytes,
+}
+
+fn config() -> Configuration<LittleEndian, Varint, Limit<MESSAGE_MAX_BYTES>> {
+    bincode::config::standard().with_limit::<MESSAGE_MAX_BYTES>()
+}
+
+/// Encodes `value`.
+///
+/// # Panics
+///
+/// Panics when `value` is over [`MESSAGE_MAX_BYTES`] or its type cannot be encoded, which is a
+/// fault of the program and not of its input.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, config()).expect("message types can be encoded")
+}
+
+/// Decodes a message that fills `buf`.
+///
+/// # Errors
+///
+/// Returns [`CodecError`] when `buf` does not hold exactly one message.
+pub fn decode<T: DeserializeOwned>(buf: &[u8]) -> Result<T, CodecError> {
+    match bincode::serde::decode_from_slice(buf, config()) {
+        Ok((value, used)) if used == buf.len() => Ok(value),
+        Ok(_) => Err(CodecError::TrailingBytes),
+        Err(_) => Err(CodecError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/model/src/intent.rs
@@ -0,0 +1,377 @@
+//! The intent: the operators' configuration and what the fleet has agreed on, as one document.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    sync::Arc,
+    time::SystemTime,
+};
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::{
+    kind::ServiceSpec,
+    name::{NodeName, ServiceName, VersionName, ZoneName},
+};
+
+/// How many past operations the document remembers, to settle commands whose answer was lost.
+pub const RECENT_OPERATIONS: usize = 1_024;
+
+/// Default share of calls that may be spent on measuring, in parts per million: 1%.
+pub const DEFAULT_MEASURING_PPM: u32 = 10_000;
+
+/// Version of the intent; it grows by one with each change.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// Returns the revision after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "r{}", self.0)
+    }
+}
+
+/// Whether operators want a zone to carry traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ZoneIntent {
+    /// In service.
+    In,
+    /// Out of service: no new work.
+    Out,
+}
+
+/// A node that keeps the ledger entries of a share of a service's idempotency keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Keeper {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Incarnation that holds the authority, the node's start in milliseconds since the epoch.
+    pub incarnation: u64,
+    /// Start of the authority; see the ledger's authority start rule.
+    pub since: SystemTime,
+}
+
+/// Where a rollout stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RolloutPhase {
+    /// Traffic moves to the new version step by step.
+    Advancing,
+    /// The new version has all traffic and is still judged.
+    Holding,
+    /// Completed.
+    Completed,
+    /// Taken back to the old version.
+    TakenBack,
+}
+
+impl RolloutPhase {
+    /// Returns whether the rollout has ended.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::TakenBack)
+    }
+}
+
+/// State of one rollout.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Rollout {
+    /// Version that carried traffic before.
+    pub from: VersionName,
+    /// Version that is to carry traffic.
+    pub to: VersionName,
+    /// When it was started.
+    pub started: SystemTime,
+    /// When it must be completed.
+    pub deadline: SystemTime,
+    /// Present phase.
+    pub phase: RolloutPhase,
+    /// Share of traffic of the new version, in parts per million.
+    pub share_ppm: u32,
+    /// Node that drives the rollout.
+    pub controller: Option<NodeName>,
+    /// Fencing token: the revision that made `controller` the controller.
+    pub fence: Revision,
+    /// Why the present phase was entered, one sentence.
+    pub reason: Arc<str>,
+}
+
+/// What a change does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// Takes a zone in or out of service.
+    SetZone(ZoneName, ZoneIntent),
+    /// Adds or replaces a service.
+    PutService(ServiceSpec),
+    /// Sets the share of calls that may be spent on measuring, in parts per million.
+    SetMeasuring(u32),
+    /// Starts a rollout.
+    StartRollout {
+        /// Service whose version changes.
+        service: ServiceName,
+        /// Version that is to carry traffic.
+        to: VersionName,
+        /// Version that carries traffic now.
+        from: VersionName,
+        /// When it must be completed.
+        deadline: SystemTime,
+    },
+    /// Makes `node` the controller of the service's rollout and sets a new fencing token.
+    TakeRollout {
+        /// Service whose rollout is taken over.
+        service: ServiceName,
+        /// New controller.
+        node: NodeName,
+    },
+    /// Moves a rollout on; not accepted when `fence` is not the rollout's.
+    StepRollout {
+        /// Service whose rollout moves.
+        service: ServiceName,
+        /// Fencing token of the controller.
+        fence: Revision,
+        /// New phase.
+        phase: RolloutPhase,
+        /// New share in parts per million.
+        share_ppm: u32,
+        /// One sentence.
+        reason: Arc<str>,
+    },
+    /// Takes a rollout back by an operator's command.
+    CancelRollout {
+        /// Service whose rollout is cancelled.
+        service: ServiceName,
+    },
+    /// Adds a keeper, or gives an existing one a new incarnation and authority start.
+    PutKeeper(ServiceName, Keeper),
+    /// Removes a keeper whose process is gone; `incarnation` must match.
+    RemoveKeeper {
+        /// Service of the keeper.
+        service: ServiceName,
+        /// Name of the node.
+        node: NodeName,
+        /// Incarnation that is removed.
+        incarnation: u64,
+        /// Start of the authority of the keepers that take over its keys.
+        at: SystemTime,
+    },
+}
+
+/// One accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Change {
+    /// Revision that the change makes.
+    pub revision: Revision,
+    /// Id by which a command with a lost answer is found again.
+    pub operation: Uuid,
+    /// Who gave the command.
+    pub author: Arc<str>,
+    /// When it was given.
+    pub at: SystemTime,
+    /// What it does.
+    pub action: Action,
+}
+
+/// Why a change was not applied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChangeError {
+    /// The change's revision is not one above the document's.
+    WrongRevision,
+    /// The zone, service or rollout named does not exist.
+    NotFound,
+    /// A rollout of the service is still under way.
+    RolloutUnderWay,
+    /// The rollout has ended.
+    RolloutEnded,
+    /// The fencing token is not the rollout's present one.
+    StaleFence,
+    /// The keeper has another incarnation.
+    OtherIncarnation,
+    /// A value is out of its range.
+    OutOfRange,
+}
+
+/// The whole document.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Intent {
+    /// Version of the document.
+    pub revision: Revision,
+    /// Zones that operators have named; any other zone is in service.
+    pub zones: BTreeMap<ZoneName, ZoneIntent>,
+    /// Services and their kinds.
+    pub services: BTreeMap<ServiceName, ServiceSpec>,
+    /// Share of calls for measuring in parts per million; `None` means the default.
+    pub measuring_ppm: Option<u32>,
+    /// Latest rollout of each service.
+    pub rollouts: BTreeMap<ServiceName, Rollout>,
+    /// Keepers of each service, by rank of joining.
+    pub keepers: BTreeMap<ServiceName, Vec<Keeper>>,
+    /// Ids of the latest operations, oldest first.
+    pub recent: VecDeque<(Uuid, Revision)>,
+}
+
+/// One whole in parts per million.
+pub const PPM: u32 = 1_000_000;
+
+impl Intent {
+    /// Returns whether the zone takes new work.
+    pub fn zone_in_service(&self, zone: &ZoneName) -> bool {
+        self.zones.get(zone) != Some(&ZoneIntent::Out)
+    }
+
+    /// Returns the share of calls for measuring, in parts per million.
+    pub fn measuring_ppm(&self) -> u32 {
+        self.measuring_ppm.unwrap_or(DEFAULT_MEASURING_PPM)
+    }
+
+    /// Returns the revision that the operation made, if it is still remembered.
+    pub fn revision_of(&self, operation: Uuid) -> Option<Revision> {
+        self.recent.iter().rev().find(|(id, _)| *id == operation).map(|(_, revision)| *revision)
+    }
+
+    /// Applies the next change.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChangeError`] and leaves the document as it was when the change does not follow
+    /// on this document.
+    pub fn apply(&mut self, change: &Change) -> Result<(), ChangeError> {
+        if change.revision != self.revision.next() {
+            return Err(ChangeError::WrongRevision);
+        }
+        self.act(change)?;
+        self.revision = change.revision;
+        self.recent.push_back((change.operation, change.revision));
+        while self.recent.len() > RECENT_OPERATIONS {
+            self.recent.pop_front();
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, change: &Change) -> Result<(), ChangeError> {
+        match &change.action {
+            Action::SetZone(zone, intent) => {
+                self.zones.insert(zone.clone(), *intent);
+            }
+            Action::PutService(service) => {
+                self.services.insert(service.name.clone(), service.clone());
+            }
+            Action::SetMeasuring(ppm) if *ppm > PPM => return Err(ChangeError::OutOfRange),
+            Action::SetMeasuring(ppm) => self.measuring_ppm = Some(*ppm),
+            Action::StartRollout { service, to, from, deadline } => {
+                self.start_rollout(change, service, from, to, *deadline)?;
+            }
+            Action::TakeRollout { service, node } => {
+                let rollout = self.open_rollout(service)?;
+                rollout.controller = Some(node.clone());
+                rollout.fence = change.revision;
+            }
+            Action::StepRollout { service, fence, phase, share_ppm, reason } => {
+                let rollout = self.open_rollout(service)?;
+                if rollout.fence != *fence {
+                    return Err(ChangeError::StaleFence);
+                }
+                if *share_ppm > PPM {
+                    return Err(ChangeError::OutOfRange);
+                }
+                rollout.phase = *phase;
+                rollout.share_ppm = *share_ppm;
+                rollout.reason = reason.clone();
+            }
+            Action::CancelRollout { service } => {
+                let rollout = self.open_rollout(service)?;
+                rollout.phase = RolloutPhase::TakenBack;
+                rollout.share_ppm = 0;
+                rollout.reason = "cancelled by an operator".into();
+            }
+            Action::PutKeeper(service, keeper) => self.put_keeper(service, keeper),
+            Action::RemoveKeeper { service, node, incarnation, at } => {
+                self.remove_keeper(service, node, *incarnation, *at)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_rollout(
+        &mut self,
+        change: &Change,
+        service: &ServiceName,
+        from: &VersionName,
+        to: &VersionName,
+        deadline: SystemTime,
+    ) -> Result<(), ChangeError> {
+        if !self.services.contains_key(service) {
+            return Err(ChangeError::NotFound);
+        }
+        if self.rollouts.get(service).is_some_and(|rollout| !rollout.phase.is_final()) {
+            return Err(ChangeError::RolloutUnderWay);
+        }
+        let rollout = Rollout {
+            from: from.clone(),
+            to: to.clone(),
+            started: change.at,
+            deadline,
+            phase: RolloutPhase::Advancing,
+            share_ppm: 0,
+            controller: None,
+            fence: change.revision,
+            reason: "started".into(),
+        };
+        self.rollouts.insert(service.clone(), rollout);
+        Ok(())
+    }
+
+    fn open_rollout(&mut self, service: &ServiceName) -> Result<&mut Rollout, ChangeError> {
+        let rollout = self.rollouts.get_mut(service).ok_or(ChangeError::NotFound)?;
+        if rollout.phase.is_final() {
+            return Err(ChangeError::RolloutEnded);
+        }
+        Ok(rollout)
+    }
+
+    fn put_keeper(&mut self, service: &ServiceName, keeper: &Keeper) {
+        let keepers = self.keepers.entry(service.clone()).or_default();
+        match keepers.iter_mut().find(|known| known.node == keeper.node) {
+            Some(known) => *known = keeper.clone(),
+            None => {
+                // A new keeper takes keys over from all others, so nobody's ledger covers them.
+                keepers.push(keeper.clone());
+            }
+        }
+    }
+
+    fn remove_keeper(
+        &mut self,
+        service: &ServiceName,
+        node: &NodeName,
+        incarnation: u64,
+        at: SystemTime,
+    ) -> Result<(), ChangeError> {
+        let keepers = self.keepers.get_mut(service).ok_or(ChangeError::NotFound)?;
+        let rank = keepers.iter().position(|k| k.node == *node).ok_or(ChangeError::NotFound)?;
+        if keepers[rank].incarnation != incarnation {
+            return Err(ChangeError::OtherIncarnation);
+        }
+        keepers.remove(rank);
+        // The removed keeper's keys move to the others, whose ledgers do not cover them.
+        for keeper in keepers {
+            keeper.since = keeper.since.max(at);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/model/src/message.rs
@@ -0,0 +1,109 @@
+//! Messages of the inner port. Gossip datagrams are in `oleandertiller-fleet`.
+//!
+//! A call is one `h2` stream: the request's data is a little-endian `u32` length, a
+//! [`CallHead`] of that length, then the body; the answer is laid out the same with a
+//! [`ReplyHead`].
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::{
+    error::Outcome,
+    intent::{Change, Intent, Revision},
+    key::IdempotencyKey,
+    load::LoadReport,
+    name::{KindName, ServiceName},
+};
+
+/// Path of the `h2` stream that carries a call.
+pub const CALL_PATH: &str = "/call";
+
+/// Path of the `h2` stream that pulls intent; its body is an [`IntentPull`].
+pub const INTENT_PATH: &str = "/intent";
+
+/// Path of the `h2` stream that pulls member records.
+pub const MEMBERS_PATH: &str = "/members";
+
+/// How a call entered this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// To be run at the upstream beside the receiver.
+    Owner,
+    /// To be noted in the receiver's ledger first.
+    Keeper,
+    /// Sent only to learn the receiver's load; runs nothing.
+    Probe,
+}
+
+/// Head of a call between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CallHead {
+    /// Must be [`crate::codec::PROTOCOL_VERSION`].
+    pub protocol: u16,
+    /// The request's own id from end to end.
+    pub request: Uuid,
+    /// What the receiver is to do.
+    pub role: Role,
+    /// Service called.
+    pub service: ServiceName,
+    /// Kind of request.
+    pub kind: KindName,
+    /// HTTP method of the client's request.
+    pub method: String,
+    /// Path and query as the client sent them.
+    pub path: String,
+    /// `content-type` of the body, if any.
+    pub content_type: Option<String>,
+    /// Time left until the client's deadline.
+    pub remaining: Duration,
+    /// How many calls lie above this one.
+    pub depth: u8,
+    /// Key of a request that must run at most once.
+    pub key: Option<IdempotencyKey>,
+    /// Revision of the intent in force at the sender.
+    pub revision: Revision,
+}
+
+/// Head of the answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ReplyHead {
+    /// Must be [`crate::codec::PROTOCOL_VERSION`].
+    pub protocol: u16,
+    /// Id of the request that is answered.
+    pub request: Uuid,
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// HTTP status of the upstream, when the outcome is done.
+    pub status: u16,
+    /// `content-type` of the body, if any.
+    pub content_type: Option<String>,
+    /// Length of the body that follows, in bytes.
+    pub body_len: u64,
+    /// Load of the owner.
+    pub load: LoadReport,
+}
+
+/// Asks a peer for the intent after `have`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct IntentPull {
+    /// Revision that the sender has in force.
+    pub have: Revision,
+}
+
+/// Answers an [`IntentPull`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum IntentPush {
+    /// The asker is up to date.
+    Current,
+    /// The changes that the asker lacks, in order.
+    Changes(Vec<Change>),
+    /// The whole document, when the changes are no longer at hand.
+    Document(Box<Intent>),
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rollout state and judgement without sockets or clocks.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in upstream, key-value store and fault-injecting proxy.
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,1 @@
+//! Subcommands of the `oleandertiller` binary, one module each.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! Library under the `oleandertiller` binary: settings, node services and reports.
+
+pub mod cmd;
+pub mod node;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `oleandertiller` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,3 @@
+//! The node: the services of one process beside one upstream.
+
+pub mod view;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests with real processes.
