Ledger of idempotency keys with an explored keeper protocol

Cause: a client that repeats a request must not run it twice while nodes join, leave and crash, and nodes keep nothing on disk. Ruled out: one store write a key (the store takes a few hundred a second); a replica of each entry on a second node (a replicated store of our own); authority by time alone (a lagging keeper could run a key again). Found by the exploration: the last keeper of a service counted its leave as complete since no member was missing; a date in the future let a key run again after a crash. Both are fixed. Replacement of a keeper that vanishes without refusing connections is not built.

--- /dev/null
+++ b/crates/explore/tests/explore.rs
@@ -0,0 +1,47 @@
+//! The explorer visits every state and finds the shortest violation.
+
+use oleandertiller_explore::{Model, explore};
+
+/// A counter that may grow by one or two up to `top`, and must not reach `forbidden`.
+struct Counter {
+    top: u32,
+    forbidden: u32,
+}
+
+impl Model for Counter {
+    type State = u32;
+    type Event = u32;
+
+    fn initial(&self) -> Vec<u32> {
+        vec![0]
+    }
+
+    fn events(&self, state: &u32) -> Vec<u32> {
+        [1, 2].into_iter().filter(|step| state + step <= self.top).collect()
+    }
+
+    fn next(&self, state: &u32, event: &u32) -> u32 {
+        state + event
+    }
+
+    fn check(&self, state: &u32) -> Result<(), String> {
+        if *state == self.forbidden { Err("forbidden".into()) } else { Ok(()) }
+    }
+}
+
+/// Guards against an explorer that stops early and calls a model safe.
+#[test]
+fn visits_every_state() {
+    let report = explore(&Counter { top: 10, forbidden: 99 }, 1_000);
+    assert!(report.complete && report.violation.is_none());
+    assert_eq!(report.states, 11);
+}
+
+/// Guards against traces that are longer than needed or do not lead to the violation.
+#[test]
+fn finds_the_shortest_trace() {
+    let report = explore(&Counter { top: 10, forbidden: 5 }, 1_000);
+    let trace = report.violation.expect("the forbidden state is reachable").trace;
+    assert_eq!(trace.len(), 3);
+    assert_eq!(trace.iter().sum::<u32>(), 5);
+}
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The upstream gave a whole answer.
--- a/crates/model/src/intent.rs
+++ b/crates/model/src/intent.rs
@@ -1,5 +1,7 @@
 //! The intent: the operators' configuration and what the fleet has agreed on, as one document.
 
+pub mod keeper;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt,
@@ -15,6 +17,8 @@
     name::{NodeName, ServiceName, VersionName, ZoneName},
 };
 
+pub use keeper::{Keeper, KeeperSet, LostKeeper};
+
 /// How many past operations the document remembers, to settle commands whose answer was lost.
 pub const RECENT_OPERATIONS: usize = 1_024;
 
@@ -22,9 +26,8 @@
 pub const DEFAULT_MEASURING_PPM: u32 = 10_000;
 
 /// Version of the intent; it grows by one with each change.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
@@ -42,7 +45,8 @@
 }
 
 /// Whether operators want a zone to carry traffic.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ZoneIntent {
     /// In service.
@@ -51,20 +55,9 @@
     Out,
 }
 
-/// A node that keeps the ledger entries of a share of a service's idempotency keys.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Keeper {
-    /// Name of the node.
-    pub node: NodeName,
-    /// Incarnation that holds the authority, the node's start in milliseconds since the epoch.
-    pub incarnation: u64,
-    /// Start of the authority; see the ledger's authority start rule.
-    pub since: SystemTime,
-}
-
 /// Where a rollout stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RolloutPhase {
     /// Traffic moves to the new version step by step.
@@ -85,7 +78,8 @@
 }
 
 /// State of one rollout.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Rollout {
     /// Version that carried traffic before.
@@ -109,7 +103,8 @@
 }
 
 /// What a change does.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
     /// Takes a zone in or out of service.
@@ -154,23 +149,26 @@
         /// Service whose rollout is cancelled.
         service: ServiceName,
     },
-    /// Adds a keeper, or gives an existing one a new incarnation and authority start.
+    /// Adds a keeper, or replaces the earlier incarnation of the same node, which is then lost.
     PutKeeper(ServiceName, Keeper),
-    /// Removes a keeper whose process is gone; `incarnation` must match.
-    RemoveKeeper {
+    /// Moves a keeper to the leaving ones; it stays reachable until it has handed over its ledger.
+    LeaveKeeper(ServiceName, Keeper),
+    /// Removes a leaving keeper whose ledger every member has taken over.
+    FinishLeave(ServiceName, Keeper),
+    /// Declares a keeper lost whose process is gone, whether or not it is still a member.
+    LoseKeeper {
         /// Service of the keeper.
         service: ServiceName,
-        /// Name of the node.
-        node: NodeName,
-        /// Incarnation that is removed.
-        incarnation: u64,
-        /// Start of the authority of the keepers that take over its keys.
+        /// The keeper.
+        keeper: Keeper,
+        /// When it can have run its last request.
         at: SystemTime,
     },
 }
 
 /// One accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Change {
     /// Revision that the change makes.
@@ -186,7 +184,8 @@
 }
 
 /// Why a change was not applied.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChangeError {
     /// The change's revision is not one above the document's.
@@ -206,7 +205,8 @@
 }
 
 /// The whole document.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Intent {
     /// Version of the document.
@@ -219,8 +219,8 @@
     pub measuring_ppm: Option<u32>,
     /// Latest rollout of each service.
     pub rollouts: BTreeMap<ServiceName, Rollout>,
-    /// Keepers of each service, by rank of joining.
-    pub keepers: BTreeMap<ServiceName, Vec<Keeper>>,
+    /// Keepers of each service.
+    pub keepers: BTreeMap<ServiceName, KeeperSet>,
     /// Ids of the latest operations, oldest first.
     pub recent: VecDeque<(Uuid, Revision)>,
 }
@@ -299,9 +299,15 @@
                 rollout.share_ppm = 0;
                 rollout.reason = "cancelled by an operator".into();
             }
-            Action::PutKeeper(service, keeper) => self.put_keeper(service, keeper),
-            Action::RemoveKeeper { service, node, incarnation, at } => {
-                self.remove_keeper(service, node, *incarnation, *at)?;
+            Action::PutKeeper(service, keeper) => {
+                self.keepers.entry(service.clone()).or_default().put(keeper, change.at);
+            }
+            Action::LeaveKeeper(service, keeper) => self.keeper_set(service)?.leave(keeper)?,
+            Action::FinishLeave(service, keeper) => {
+                self.keeper_set(service)?.finish_leave(keeper)?;
+            }
+            Action::LoseKeeper { service, keeper, at } => {
+                self.keeper_set(service)?.lose(keeper, *at)?;
             }
         }
         Ok(())
@@ -344,34 +350,7 @@
         Ok(rollout)
     }
 
-    fn put_keeper(&mut self, service: &ServiceName, keeper: &Keeper) {
-        let keepers = self.keepers.entry(service.clone()).or_default();
-        match keepers.iter_mut().find(|known| known.node == keeper.node) {
-            Some(known) => *known = keeper.clone(),
-            None => {
-                // A new keeper takes keys over from all others, so nobody's ledger covers them.
-                keepers.push(keeper.clone());
-            }
-        }
-    }
-
-    fn remove_keeper(
-        &mut self,
-        service: &ServiceName,
-        node: &NodeName,
-        incarnation: u64,
-        at: SystemTime,
-    ) -> Result<(), ChangeError> {
-        let keepers = self.keepers.get_mut(service).ok_or(ChangeError::NotFound)?;
-        let rank = keepers.iter().position(|k| k.node == *node).ok_or(ChangeError::NotFound)?;
-        if keepers[rank].incarnation != incarnation {
-            return Err(ChangeError::OtherIncarnation);
-        }
-        keepers.remove(rank);
-        // The removed keeper's keys move to the others, whose ledgers do not cover them.
-        for keeper in keepers {
-            keeper.since = keeper.since.max(at);
-        }
-        Ok(())
+    fn keeper_set(&mut self, service: &ServiceName) -> Result<&mut KeeperSet, ChangeError> {
+        self.keepers.get_mut(service).ok_or(ChangeError::NotFound)
     }
 }
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -10,7 +10,8 @@
 pub const KEY_MAX_BYTES: usize = 128;
 
 /// An idempotency key, held as a hash, with its creation time if it is a UUIDv7.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct IdempotencyKey {
     hash: u128,
--- a/crates/model/src/kind.rs
+++ b/crates/model/src/kind.rs
@@ -7,7 +7,8 @@
 use crate::name::{KindName, ServiceName};
 
 /// Whether a request may be run again when its outcome is unknown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Safety {
     /// Running it again does no harm.
@@ -17,7 +18,8 @@
 }
 
 /// One kind of request of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct KindSpec {
     /// Name, the second segment of the request path.
@@ -77,7 +79,8 @@
 }
 
 /// A service and its kinds of request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ServiceSpec {
     /// Name, the first segment of the request path.
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -5,7 +5,8 @@
 use crate::{intent::Revision, name::VersionName};
 
 /// Where an upstream is in its life, as its owner sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Lifecycle {
     /// Nothing has been announced, or not for too long.
@@ -27,7 +28,8 @@
 }
 
 /// Load of one upstream at the moment its owner sent an answer or a refusal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct LoadReport {
     /// Grows with every report of one owner incarnation, so that late reports are ignored.
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -27,7 +27,8 @@
 pub const MEMBERS_PATH: &str = "/members";
 
 /// How a call entered this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Role {
     /// To be run at the upstream beside the receiver.
@@ -39,7 +40,8 @@
 }
 
 /// Head of a call between nodes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct CallHead {
     /// Must be [`crate::codec::PROTOCOL_VERSION`].
@@ -69,7 +71,8 @@
 }
 
 /// Head of the answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct ReplyHead {
     /// Must be [`crate::codec::PROTOCOL_VERSION`].
@@ -89,7 +92,8 @@
 }
 
 /// Asks a peer for the intent after `have`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct IntentPull {
     /// Revision that the sender has in force.
@@ -97,7 +101,8 @@
 }
 
 /// Answers an [`IntentPull`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum IntentPush {
     /// The asker is up to date.
