--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -64,6 +64,8 @@
     pub depth: u8,
     /// Key of a request that must run at most once.
     pub key: Option<IdempotencyKey>,
+    /// The key as the client sent it; the upstream gets it unchanged.
+    pub key_text: Option<String>,
     /// Revision of the intent in force at the sender.
     pub revision: Revision,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,3 +1,307 @@
 //! The node: the services of one process beside one upstream.
 
+pub mod config;
+pub mod conn;
+pub mod ingress;
+pub mod inner;
+pub mod metrics;
+pub mod operator;
+pub mod owner;
+pub mod timer;
 pub mod view;
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant, UNIX_EPOCH},
+};
+
+use async_channel::Sender;
+use async_std::{
+    net::TcpListener,
+    task::{self, JoinHandle},
+};
+use bytes::Bytes;
+use oleandertiller_model::{
+    Clock, ErrorKind, Outcome,
+    codec::PROTOCOL_VERSION,
+    message::{CallHead, ReplyHead, Role},
+};
+
+use self::{
+    config::NodeConfig,
+    ingress::Ingress,
+    inner::{ControlHandler, InnerHandler, NoControl, client::InnerClient, server::InnerServer},
+    metrics::Metrics,
+    operator::OperatorApp,
+    owner::Owner,
+    timer::Timers,
+    view::{OwnerInfo, ViewCell},
+};
+use crate::kernel::{Kernel, KernelError, Service};
+
+/// Longest time that a peer can give a call. A longer one could not be added to the clock.
+const MAX_REMAINING: Duration = Duration::from_secs(3_600);
+
+/// Time between two looks at whether the work in flight has ended.
+const QUIET_POLL: Duration = Duration::from_millis(5);
+
+/// Time that peers have to take the end of the inner connections in.
+const GOODBYE: Duration = Duration::from_millis(20);
+
+/// A running node.
+pub struct Node<C: Clock> {
+    cfg: Arc<NodeConfig>,
+    clock: C,
+    kernel: Kernel,
+    owner: Arc<Owner<C>>,
+    ingress: Arc<Ingress<C>>,
+    streams: Box<dyn Fn() -> usize + Send + Sync>,
+}
+
+/// A task that accepts connections or keeps time, stopped by closing its channel.
+struct Running {
+    stop: Sender<()>,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Running {
+    fn start<F: Future<Output = ()> + Send + 'static>(
+        run: impl FnOnce(async_channel::Receiver<()>) -> F,
+    ) -> Arc<Self> {
+        let (stop, stopped) = async_channel::bounded(1);
+        let task = task::spawn(run(stopped));
+        Arc::new(Self { stop, task: Mutex::new(Some(task)) })
+    }
+}
+
+impl Service for Running {
+    async fn close(self: Arc<Self>) {
+        self.stop.close();
+        let task = self.task.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(task) = task {
+            task.await;
+        }
+    }
+}
+
+impl<C: Clock> Service for Owner<C> {
+    async fn close(self: Arc<Self>) {
+        self.disconnect();
+    }
+}
+
+impl<C: Clock> Service for Ingress<C> {
+    async fn close(self: Arc<Self>) {}
+}
+
+impl<C: Clock> Service for InnerClient<C> {
+    async fn close(self: Arc<Self>) {
+        self.disconnect();
+    }
+}
+
+/// Answers the inner port from the owner and the control services.
+struct NodeHandler<C, K> {
+    clock: C,
+    owner: Arc<Owner<C>>,
+    control: K,
+}
+
+impl<C: Clock, K: ControlHandler> InnerHandler for NodeHandler<C, K> {
+    async fn call(&self, head: CallHead, body: Bytes) -> (ReplyHead, Bytes) {
+        // The ledger is to be plugged in here; until then this node keeps no keys.
+        if head.role == Role::Keeper {
+            return (self.refuse(&head, ErrorKind::StaleIntent), Bytes::new());
+        }
+        let deadline = self.clock.now() + head.remaining.min(MAX_REMAINING);
+        self.owner.run(&head, deadline, &body).await
+    }
+
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        self.control.control(path, body).await
+    }
+}
+
+impl<C: Clock, K> NodeHandler<C, K> {
+    fn refuse(&self, head: &CallHead, kind: ErrorKind) -> ReplyHead {
+        ReplyHead {
+            protocol: PROTOCOL_VERSION,
+            request: head.request,
+            outcome: Outcome::NotRun(kind),
+            status: 0,
+            content_type: None,
+            body_len: 0,
+            load: self.owner.load(),
+        }
+    }
+}
+
+/// Fires the timers and expires what waits at the owner, until it is stopped.
+async fn keep_time<C: Clock>(
+    clock: C,
+    timers: Timers,
+    owner: Arc<Owner<C>>,
+    stop: async_channel::Receiver<()>,
+) {
+    while !stop.is_closed() {
+        task::sleep(timer::TICK).await;
+        let now = clock.now();
+        timers.fire(now);
+        owner.tick(now);
+    }
+}
+
+impl<C: Clock> Node<C> {
+    /// Starts a node without control services.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a port cannot be opened.
+    pub async fn start(cfg: NodeConfig, clock: C, view: ViewCell) -> io::Result<Self> {
+        Self::start_with(cfg, clock, view, NoControl, |_| {}).await
+    }
+
+    /// Starts a node with the control services' messages and operator routes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a port cannot be opened.
+    pub async fn start_with<K: ControlHandler>(
+        mut cfg: NodeConfig,
+        clock: C,
+        view: ViewCell,
+        control: K,
+        add_routes: impl FnOnce(&mut OperatorApp<C>),
+    ) -> io::Result<Self> {
+        let client_port = TcpListener::bind(cfg.client).await?;
+        let inner_port = TcpListener::bind(cfg.inner).await?;
+        let operator_port = TcpListener::bind(cfg.operator).await?;
+        cfg.client = client_port.local_addr()?;
+        cfg.inner = inner_port.local_addr()?;
+        cfg.operator = operator_port.local_addr()?;
+        if cfg.incarnation == 0 {
+            let since_epoch = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+            cfg.incarnation = since_epoch.as_millis() as u64;
+        }
+        let cfg = Arc::new(cfg);
+
+        let (timers, metrics) = (Timers::default(), Metrics::new());
+        let owner =
+            Owner::new(cfg.clone(), clock.clone(), view.clone(), timers.clone(), metrics.clone());
+        let owner = Arc::new(owner);
+        let client = InnerClient::new(
+            clock.clone(),
+            timers.clone(),
+            cfg.connect_timeout,
+            cfg.body_max_bytes,
+        );
+        let client = Arc::new(client);
+        let handler = NodeHandler { clock: clock.clone(), owner: owner.clone(), control };
+        let inner = Arc::new(InnerServer::new(Arc::new(handler), cfg.body_max_bytes));
+        let ingress = Arc::new(Ingress::new(
+            cfg.clone(),
+            clock.clone(),
+            view,
+            timers.clone(),
+            metrics.clone(),
+            owner.clone(),
+            client.clone(),
+        ));
+        let mut app = operator::app(owner.clone(), metrics);
+        add_routes(&mut app);
+
+        let mut kernel = Kernel::default();
+        let parts = (owner.clone(), ingress.clone(), inner.clone());
+        let registered = (|| {
+            let keeper = (clock.clone(), timers, owner.clone());
+            kernel.register(
+                "time",
+                Running::start(|stop| keep_time(keeper.0, keeper.1, keeper.2, stop)),
+            )?;
+            kernel.register("owner", owner)?;
+            kernel.register("inner-client", client)?;
+            kernel.register("inner-port", Running::start(|stop| inner.serve(inner_port, stop)))?;
+            kernel.register("ingress", ingress.clone())?;
+            let serve = |stop| operator::serve(app, operator_port, stop);
+            kernel.register("operator-port", Running::start(serve))?;
+            kernel.register("client-port", Running::start(|stop| ingress.serve(client_port, stop)))
+        })();
+        registered.map_err(|error: KernelError| io::Error::other(error))?;
+        let (owner, ingress, inner) = parts;
+        let streams = Box::new(move || inner.streams());
+        Ok(Self { cfg, clock, kernel, owner, ingress, streams })
+    }
+
+    /// Returns the settings, with the ports that the system chose.
+    pub fn config(&self) -> &NodeConfig {
+        &self.cfg
+    }
+
+    /// Returns the services by name.
+    pub fn kernel(&self) -> &Kernel {
+        &self.kernel
+    }
+
+    /// Returns the owner of the local upstream.
+    pub fn owner(&self) -> &Arc<Owner<C>> {
+        &self.owner
+    }
+
+    /// Returns the address of the client port.
+    pub fn client_addr(&self) -> SocketAddr {
+        self.cfg.client
+    }
+
+    /// Returns the address of the operator port.
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.cfg.operator
+    }
+
+    /// Describes the node as an owner, for a fixed [`view::View`].
+    pub fn owner_info(&self) -> OwnerInfo {
+        let load = self.owner.load();
+        OwnerInfo {
+            node: self.cfg.name.clone(),
+            incarnation: self.cfg.incarnation,
+            zone: self.cfg.zone.clone(),
+            region: self.cfg.region.clone(),
+            inner: self.cfg.inner,
+            version: load.version,
+            lifecycle: load.lifecycle,
+            reachable: true,
+        }
+    }
+
+    /// Refuses new work from now on, and lets the work in flight go on.
+    pub fn drain(&self) {
+        self.owner.drain();
+    }
+
+    /// Stops the node after its work in flight has ended.
+    ///
+    /// The ports stay open until then: peers and clients are told `draining`, and the local
+    /// upstream can still call other services for the requests that it has.
+    pub async fn close(self) {
+        self.drain();
+        let deadline = self.clock.now() + self.cfg.drain_timeout;
+        while self.is_busy() && self.clock.now() < deadline {
+            task::sleep(QUIET_POLL).await;
+        }
+        self.report_leftovers(deadline);
+        self.kernel.close().await;
+        task::sleep(GOODBYE).await;
+    }
+
+    fn is_busy(&self) -> bool {
+        self.owner.is_busy() || self.ingress.active() > 0 || (self.streams)() > 0
+    }
+
+    fn report_leftovers(&self, deadline: Instant) {
+        if self.clock.now() >= deadline && self.is_busy() {
+            log::warn!("node {} stops with requests in flight", self.cfg.name);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/conn.rs
@@ -0,0 +1,275 @@
+//! A TCP connection for HTTP/1.1 messages, in the form that `async-h1` reads and writes.
+//!
+//! `async-h1` writes head and body separately and reads ahead into a buffer that it drops after
+//! each message. [`Conn`] therefore holds writes back until the flush, which saves a system call
+//! and a packet, and hands input out line by line until the body's length is known, so that
+//! `async-h1` never reads past the end of a message.
+
+use std::{
+    io,
+    net::{Shutdown, SocketAddr},
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, ready},
+};
+
+use async_std::net::TcpStream;
+use futures_util::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt, future::poll_fn};
+use oleandertiller_model::ErrorKind;
+
+/// Size of the input buffer, in bytes.
+const INPUT_BYTES: usize = 8 * 1024;
+
+/// Output held back before it is written without a flush, in bytes.
+const OUTPUT_BYTES: usize = 64 * 1024;
+
+/// Most lines of a head; `async-h1` parses at most 128 headers.
+const HEAD_MAX_LINES: usize = 128;
+
+struct Buffers {
+    input: Box<[u8]>,
+    start: usize,
+    end: usize,
+    output: Vec<u8>,
+    written: usize,
+    head: Option<HeadLimit>,
+    fault: Option<ErrorKind>,
+}
+
+struct HeadLimit {
+    bytes: usize,
+    lines: usize,
+}
+
+impl HeadLimit {
+    fn take(&mut self, line: &[u8]) -> Result<(), ErrorKind> {
+        // `http-types` panics on header values that are not ASCII.
+        if !line.iter().all(|b| b.is_ascii() && *b != 0) {
+            return Err(ErrorKind::BadRequest);
+        }
+        if line.len() > self.bytes || (line.ends_with(b"\n") && self.lines == 0) {
+            return Err(ErrorKind::HeadTooLarge);
+        }
+        self.bytes -= line.len();
+        self.lines -= usize::from(line.ends_with(b"\n"));
+        Ok(())
+    }
+}
+
+/// A connection; clones share the socket and its buffers.
+#[derive(Clone)]
+pub struct Conn {
+    stream: TcpStream,
+    buffers: Arc<Mutex<Buffers>>,
+}
+
+impl Conn {
+    /// Wraps an open connection and switches Nagle's algorithm off.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the option cannot be set.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        // With Nagle's algorithm an answer waits for the client's delayed acknowledgement, 40 ms.
+        stream.set_nodelay(true)?;
+        let buffers = Buffers {
+            input: vec![0; INPUT_BYTES].into(),
+            start: 0,
+            end: 0,
+            output: Vec::new(),
+            written: 0,
+            head: None,
+            fault: None,
+        };
+        Ok(Self { stream, buffers: Arc::new(Mutex::new(buffers)) })
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when it cannot be opened.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        Self::new(TcpStream::connect(address).await?)
+    }
+
+    /// Starts a head of at most `max_bytes`.
+    pub fn begin_head(&self, max_bytes: usize) {
+        let mut buffers = self.lock();
+        buffers.head = Some(HeadLimit { bytes: max_bytes, lines: HEAD_MAX_LINES });
+        buffers.fault = None;
+    }
+
+    /// Ends a head: what follows is the body or the next message.
+    pub fn end_head(&self) {
+        self.lock().head = None;
+    }
+
+    /// Returns why the head was not accepted, if a limit was the reason.
+    pub fn fault(&self) -> Option<ErrorKind> {
+        self.lock().fault
+    }
+
+    /// Waits until input is at hand; returns `false` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the connection is broken.
+    pub async fn wait_input(&self) -> io::Result<bool> {
+        poll_fn(|cx| {
+            let mut buffers = self.lock();
+            if buffers.start == buffers.end {
+                ready!(poll_fill(&self.stream, &mut buffers, cx))?;
+            }
+            Poll::Ready(Ok(buffers.start < buffers.end))
+        })
+        .await
+    }
+
+    /// Reads a body of exactly `len` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns `UnexpectedEof` when the stream ends early, or the system's error.
+    pub async fn read_body(&self, len: usize) -> io::Result<Vec<u8>> {
+        let mut body = vec![0; len];
+        let buffered = self.take_buffered(&mut body);
+        (&self.stream).read_exact(&mut body[buffered..]).await?;
+        Ok(body)
+    }
+
+    /// Returns whether the idle connection is open and has no input.
+    pub fn is_idle_and_open(&self) -> bool {
+        let buffers = self.lock();
+        let clean = buffers.start == buffers.end && buffers.output.is_empty();
+        clean && self.stream.peek(&mut [0]).now_or_never().is_none()
+    }
+
+    /// Ends when the other side has closed the connection or broken it.
+    pub async fn closed(&self) {
+        if let Ok(1..) = self.stream.peek(&mut [0]).await {
+            // Input of the next request says nothing; its end is found when it is read.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Writes `head`, then `body`, as one message.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the connection is broken.
+    pub async fn write_message(&self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+        use futures_util::AsyncWriteExt;
+        let mut stream = &self.stream;
+        if body.len() <= OUTPUT_BYTES {
+            head.extend_from_slice(body);
+            return stream.write_all(&head).await;
+        }
+        stream.write_all(&head).await?;
+        stream.write_all(body).await
+    }
+
+    /// Ends the output, then reads and drops up to `max` bytes of input.
+    pub async fn discard(&self, max: usize) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let mut buf = [0; 4096];
+        let mut total = 0;
+        while total < max {
+            match (&self.stream).read(&mut buf).await {
+                Ok(n) if n > 0 => total += n,
+                _ => return,
+            }
+        }
+    }
+
+    fn take_buffered(&self, body: &mut [u8]) -> usize {
+        let mut buffers = self.lock();
+        let n = body.len().min(buffers.end - buffers.start);
+        body[..n].copy_from_slice(&buffers.input[buffers.start..buffers.start + n]);
+        buffers.start += n;
+        n
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Buffers> {
+        self.buffers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn poll_fill(
+    mut stream: &TcpStream,
+    buffers: &mut Buffers,
+    cx: &mut Context<'_>,
+) -> Poll<io::Result<()>> {
+    let n = ready!(Pin::new(&mut stream).poll_read(cx, &mut buffers.input))?;
+    buffers.start = 0;
+    buffers.end = n;
+    Poll::Ready(Ok(()))
+}
+
+fn poll_drain(
+    mut stream: &TcpStream,
+    buffers: &mut Buffers,
+    cx: &mut Context<'_>,
+) -> Poll<io::Result<()>> {
+    while buffers.written < buffers.output.len() {
+        let rest = &buffers.output[buffers.written..];
+        let n = ready!(Pin::new(&mut stream).poll_write(cx, rest))?;
+        if n == 0 {
+            return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+        }
+        buffers.written += n;
+    }
+    buffers.output.clear();
+    buffers.written = 0;
+    Poll::Ready(Ok(()))
+}
+
+impl AsyncRead for Conn {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut buffers = self.lock();
+        if buffers.start == buffers.end {
+            ready!(poll_fill(&self.stream, &mut buffers, cx))?;
+        }
+        let Buffers { input, start, end, head, fault, .. } = &mut *buffers;
+        let line = &input[*start..*end];
+        let line = &line[..line.iter().position(|b| *b == b'\n').map_or(line.len(), |i| i + 1)];
+        let line = &line[..line.len().min(buf.len())];
+        if let Some(Err(kind)) = head.as_mut().map(|limit| limit.take(line)) {
+            *fault = Some(kind);
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        buf[..line.len()].copy_from_slice(line);
+        *start += line.len();
+        Poll::Ready(Ok(line.len()))
+    }
+}
+
+impl AsyncWrite for Conn {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut buffers = self.lock();
+        if buffers.output.len() > OUTPUT_BYTES {
+            ready!(poll_drain(&self.stream, &mut buffers, cx))?;
+        }
+        buffers.output.extend_from_slice(buf);
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        poll_drain(&self.stream, &mut self.lock(), cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(poll_drain(&self.stream, &mut self.lock(), cx))?;
+        Pin::new(&mut &self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/src/node/ingress/request.rs
@@ -0,0 +1,152 @@
+//! What a client asks for, checked against the intent.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::{ErrorKind, IdempotencyKey, KindSpec};
+use tide::http::{Method, Request, headers::CONTENT_LENGTH};
+use uuid::{Builder, Uuid};
+
+use super::route::{Routes, ServiceRoute};
+
+/// A request whose head is accepted.
+pub struct Asked {
+    /// Service that is called.
+    pub route: Arc<ServiceRoute>,
+    /// Index of the kind in the service.
+    pub kind: usize,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// How many calls lie above this one.
+    pub depth: u8,
+    /// Method and path, as passed on.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// `content-type` of the body.
+    pub content_type: Option<String>,
+    /// Idempotency key, parsed and as sent.
+    pub key: Option<(IdempotencyKey, String)>,
+}
+
+impl Asked {
+    /// Returns the kind that is called.
+    pub fn spec(&self) -> &KindSpec {
+        &self.route.spec.kinds[self.kind]
+    }
+}
+
+/// How the body of a request is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyKind {
+    /// By its length in bytes.
+    Length(usize),
+    /// By chunks.
+    Chunked,
+}
+
+/// Returns the request's id: the client's, or a new one.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BadRequest`] when the client's id is no UUID.
+pub fn request_id(req: &Request) -> Result<Uuid, ErrorKind> {
+    match single(req, "x-request-id")? {
+        Some(text) => Uuid::try_parse(text).map_err(|_| ErrorKind::BadRequest),
+        None => Ok(Builder::from_random_bytes(rand::random()).into_uuid()),
+    }
+}
+
+/// Checks how the body is delimited.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BadRequest`] for framings that servers read differently, and
+/// [`ErrorKind::BodyTooLarge`] for a length over `max`.
+pub fn body_kind(req: &Request, max: usize) -> Result<BodyKind, ErrorKind> {
+    if let Some(coding) = single(req, "transfer-encoding")? {
+        let chunked = coding.eq_ignore_ascii_case("chunked");
+        return if chunked { Ok(BodyKind::Chunked) } else { Err(ErrorKind::BadRequest) };
+    }
+    let length = single(req, CONTENT_LENGTH.as_str())?;
+    let length = length.map_or(Ok(0), str::parse::<usize>).map_err(|_| ErrorKind::BadRequest)?;
+    if length <= max { Ok(BodyKind::Length(length)) } else { Err(ErrorKind::BodyTooLarge) }
+}
+
+/// Checks the head of a request that arrived at `now`.
+///
+/// # Errors
+///
+/// Returns the kind of the first thing that is wrong.
+pub fn parse(
+    req: &Request,
+    routes: &Routes,
+    now: Instant,
+    max_depth: u8,
+) -> Result<Asked, ErrorKind> {
+    let method = match req.method() {
+        Method::Get => "GET",
+        Method::Post => "POST",
+        _ => return Err(ErrorKind::BadRequest),
+    };
+    let url = req.url();
+    let mut segments = url.path().trim_start_matches('/').splitn(3, '/');
+    let service = segments.next().unwrap_or_default();
+    let kind_name = segments.next().unwrap_or_default();
+    let route = routes.service(service).ok_or(ErrorKind::UnknownService)?;
+    let kind = route.kind(kind_name).ok_or(ErrorKind::UnknownKind)?;
+    let spec = &route.spec.kinds[kind];
+    let depth = depth(req, max_depth)?;
+    if spec.internal && depth == 0 {
+        return Err(ErrorKind::UnknownKind);
+    }
+    let deadline = now + deadline(req, spec)?;
+    let key = key(req, service, kind_name)?;
+    let path = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    let content_type = single(req, "content-type")?.map(str::to_owned);
+    Ok(Asked { route: route.clone(), kind, deadline, depth, method, path, content_type, key })
+}
+
+fn single<'a>(req: &'a Request, name: &str) -> Result<Option<&'a str>, ErrorKind> {
+    let Some(values) = req.header(name) else { return Ok(None) };
+    if values.iter().count() > 1 {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(Some(values.last().as_str()))
+}
+
+fn deadline(req: &Request, spec: &KindSpec) -> Result<Duration, ErrorKind> {
+    let Some(text) = single(req, "x-deadline-ms")? else { return Ok(spec.deadline) };
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(ErrorKind::BadDeadline);
+    }
+    // Digits that do not fit are a number beyond any maximum.
+    let millis = text.parse::<u64>().unwrap_or(u64::MAX);
+    if millis == 0 {
+        return Err(ErrorKind::BadDeadline);
+    }
+    Ok(Duration::from_millis(millis).min(spec.max_deadline))
+}
+
+fn depth(req: &Request, max: u8) -> Result<u8, ErrorKind> {
+    let Some(text) = single(req, "x-call-depth")? else { return Ok(0) };
+    let depth: u64 = text.parse().map_err(|_| ErrorKind::BadRequest)?;
+    let depth = u8::try_from(depth).unwrap_or(u8::MAX);
+    if depth > max { Err(ErrorKind::DepthExceeded) } else { Ok(depth) }
+}
+
+fn key(
+    req: &Request,
+    service: &str,
+    kind: &str,
+) -> Result<Option<(IdempotencyKey, String)>, ErrorKind> {
+    let Some(text) = single(req, "idempotency-key")? else { return Ok(None) };
+    let scope = format!("{service}/{kind}");
+    let key = IdempotencyKey::parse(&scope, text).ok_or(ErrorKind::BadRequest)?;
+    Ok(Some((key, text.to_owned())))
+}
--- /dev/null
+++ b/src/node/inner.rs
@@ -0,0 +1,164 @@
+//! The inner port: calls and transfers between nodes as messages on `h2` streams.
+
+pub mod client;
+pub mod server;
+
+use std::{future::Future, io, sync::Arc};
+
+use async_std::net::TcpStream;
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+use oleandertiller_model::{
+    codec::{self, MESSAGE_MAX_BYTES, PROTOCOL_VERSION},
+    message::{CallHead, ReplyHead},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+/// Flow-control window of one stream, in bytes: a body of usual size fits without a round trip.
+const STREAM_WINDOW: u32 = 4 << 20;
+
+/// Flow-control window of a connection, in bytes.
+const CONNECTION_WINDOW: u32 = 64 << 20;
+
+/// Largest frame, in bytes.
+const MAX_FRAME: u32 = 256 << 10;
+
+/// Largest header list, in bytes; messages do not travel in headers.
+const MAX_HEADER_LIST: u32 = 4 << 10;
+
+/// Most calls at once on one connection.
+const MAX_STREAMS: u32 = 10_000;
+
+/// Reset streams that are remembered. A burst of cancelled calls is usual; with the library's
+/// default of 20 it would close the connection and lose the other calls on it.
+const MAX_RESET_STREAMS: usize = 4_096;
+
+/// Largest encoded head of a call or a reply, in bytes.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+
+/// Size of the length in front of a head, in bytes.
+const LENGTH_BYTES: usize = 4;
+
+/// Largest body that is copied behind its head to save a frame, in bytes.
+const INLINE_BODY_BYTES: usize = 8 << 10;
+
+/// What answers calls and transfers on the inner port.
+pub trait InnerHandler: Send + Sync + 'static {
+    /// Runs a call.
+    fn call(&self, head: CallHead, body: Bytes) -> impl Future<Output = (ReplyHead, Bytes)> + Send;
+
+    /// Answers a message of the control services; `None` when there is no such path.
+    fn control(&self, path: &str, body: Bytes) -> impl Future<Output = Option<Vec<u8>>> + Send;
+}
+
+/// The part of [`InnerHandler`] that control services implement.
+pub trait ControlHandler: Send + Sync + 'static {
+    /// Answers a message; `None` when there is no such path.
+    fn control(&self, path: &str, body: Bytes) -> impl Future<Output = Option<Vec<u8>>> + Send;
+}
+
+/// Control services that know no path.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoControl;
+
+impl ControlHandler for NoControl {
+    async fn control(&self, _path: &str, _body: Bytes) -> Option<Vec<u8>> {
+        None
+    }
+}
+
+impl<H: ControlHandler> ControlHandler for Arc<H> {
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        H::control(self, path, body).await
+    }
+}
+
+/// Why a message was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageError {
+    /// The stream ended early, or the connection broke.
+    Broken,
+    /// The message is over the size limit.
+    TooLarge,
+    /// The peer speaks another version.
+    OtherVersion,
+    /// The bytes are no message.
+    Malformed,
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)
+}
+
+fn h2_io(stream: TcpStream) -> Compat<TcpStream> {
+    stream.compat()
+}
+
+/// Encodes a head with its length; appends a small body.
+fn encode_frame<T: Serialize>(head: &T, body: &[u8]) -> (Bytes, bool) {
+    let encoded = codec::encode(head);
+    let inline = body.len() <= INLINE_BODY_BYTES;
+    let mut frame =
+        BytesMut::with_capacity(LENGTH_BYTES + encoded.len() + INLINE_BODY_BYTES.min(body.len()));
+    frame.extend_from_slice(&(encoded.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&encoded);
+    if inline {
+        frame.extend_from_slice(body);
+    }
+    (frame.freeze(), inline)
+}
+
+/// Splits a message into its head and body.
+///
+/// # Errors
+///
+/// Returns [`MessageError`] when the message is malformed or of another version.
+fn decode_frame<T: DeserializeOwned>(mut message: Bytes) -> Result<(T, Bytes), MessageError> {
+    if message.len() < LENGTH_BYTES {
+        return Err(MessageError::Malformed);
+    }
+    let length = message.split_to(LENGTH_BYTES);
+    let length = u32::from_le_bytes(length[..].try_into().unwrap_or_default()) as usize;
+    if length > HEAD_MAX_BYTES || length > message.len() {
+        return Err(MessageError::Malformed);
+    }
+    let head = message.split_to(length);
+    // The version is the first field and a single byte, so it is readable in heads that have
+    // changed since.
+    if head.first().is_none_or(|version| u16::from(*version) != PROTOCOL_VERSION) {
+        return Err(MessageError::OtherVersion);
+    }
+    let head = codec::decode(&head).map_err(|_| MessageError::Malformed)?;
+    Ok((head, message))
+}
+
+/// Reads a stream to its end.
+///
+/// # Errors
+///
+/// Returns [`MessageError`] when it breaks or is larger than a head and `body_max` bytes.
+async fn read_message(stream: &mut RecvStream, body_max: usize) -> Result<Bytes, MessageError> {
+    let max = LENGTH_BYTES + HEAD_MAX_BYTES + body_max;
+    let mut first = Bytes::new();
+    let mut joined = BytesMut::new();
+    while let Some(data) = stream.data().await {
+        let data = data.map_err(|_| MessageError::Broken)?;
+        let _ = stream.flow_control().release_capacity(data.len());
+        if first.len() + joined.len() + data.len() > max {
+            return Err(MessageError::TooLarge);
+        }
+        match (first.is_empty(), joined.is_empty()) {
+            (true, true) => first = data,
+            (false, true) => {
+                joined.extend_from_slice(&std::mem::take(&mut first));
+                joined.extend_from_slice(&data);
+            }
+            _ => joined.extend_from_slice(&data),
+        }
+    }
+    Ok(if joined.is_empty() { first } else { joined.freeze() })
+}
+
+/// Largest message of a control service, in bytes.
+const CONTROL_MAX_BYTES: usize = MESSAGE_MAX_BYTES;
--- /dev/null
+++ b/src/node/inner/client.rs
@@ -0,0 +1,241 @@
+//! Sending side of the inner port: persistent connections to the other nodes.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::{Duration, Instant},
+};
+
+use async_std::{future::timeout, net::TcpStream, task};
+use bytes::Bytes;
+use h2::{
+    Reason,
+    client::{Builder, SendRequest},
+};
+use http::{Method, Request, Uri, uri::PathAndQuery};
+use oleandertiller_model::{
+    Clock, ErrorKind, Outcome,
+    codec::PROTOCOL_VERSION,
+    message::{CALL_PATH, CallHead, ReplyHead},
+};
+
+use super::{
+    CONNECTION_WINDOW, CONTROL_MAX_BYTES, MAX_FRAME, MAX_HEADER_LIST, MAX_RESET_STREAMS,
+    MAX_STREAMS, STREAM_WINDOW, decode_frame, encode_frame, h2_io, prepare, read_message,
+};
+use crate::node::timer::Timers;
+
+/// What a caller waits past the deadline, so that the owner's own account of a request that ran
+/// out of time arrives instead of a guess.
+const DEADLINE_GRACE: Duration = Duration::from_millis(25);
+
+type Sender = SendRequest<Bytes>;
+
+/// The connection to one peer.
+#[derive(Default)]
+struct Peer {
+    sender: Mutex<Option<Sender>>,
+    opening: async_std::sync::Mutex<()>,
+}
+
+impl Peer {
+    fn lock(&self) -> MutexGuard<'_, Option<Sender>> {
+        self.sender.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Connections to all peers.
+pub struct InnerClient<C> {
+    clock: C,
+    timers: Timers,
+    peers: RwLock<HashMap<SocketAddr, Arc<Peer>>>,
+    connect_timeout: Duration,
+    body_max: usize,
+    call_uri: Uri,
+}
+
+impl<C: Clock> InnerClient<C> {
+    /// Creates a client without connections; answers carry at most `body_max` bytes of body.
+    pub fn new(clock: C, timers: Timers, connect_timeout: Duration, body_max: usize) -> Self {
+        let peers = RwLock::default();
+        Self { clock, timers, peers, connect_timeout, body_max, call_uri: uri(CALL_PATH) }
+    }
+
+    /// Sends a call and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended when no valid answer arrived.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &CallHead,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<(ReplyHead, Bytes), Outcome> {
+        let until = deadline.min(self.clock.now() + self.connect_timeout);
+        let sender = match self.timers.within(until, self.sender(address)).await {
+            Some(sender) => sender.ok_or(Outcome::NotRun(ErrorKind::ConnectFailed))?,
+            None if until == deadline => return Err(Outcome::NotRun(ErrorKind::DeadlineExceeded)),
+            None => return Err(Outcome::NotRun(ErrorKind::ConnectFailed)),
+        };
+        let work = self.exchange(sender, call, body);
+        let reply = self.timers.within(deadline + DEADLINE_GRACE, work).await;
+        reply.unwrap_or(Err(Outcome::Unknown(ErrorKind::UpstreamTimeout)))
+    }
+
+    async fn exchange(
+        &self,
+        sender: Sender,
+        call: &CallHead,
+        body: &Bytes,
+    ) -> Result<(ReplyHead, Bytes), Outcome> {
+        let (frame, inline) = encode_frame(call, body);
+        let rest = if inline { Bytes::new() } else { body.clone() };
+        let message = send(sender, self.call_uri.clone(), frame, rest, self.body_max).await?;
+        let decoded = decode_frame::<ReplyHead>(message);
+        let (head, body) = decoded.map_err(|_| Outcome::Unknown(ErrorKind::PeerProtocol))?;
+        if head.protocol != PROTOCOL_VERSION {
+            return Err(Outcome::Unknown(ErrorKind::PeerProtocol));
+        }
+        if head.request != call.request {
+            return Err(Outcome::Unknown(ErrorKind::MismatchedAnswer));
+        }
+        if head.body_len != body.len() as u64 {
+            return Err(Outcome::Unknown(ErrorKind::TruncatedAnswer));
+        }
+        Ok((head, body))
+    }
+
+    /// Sends a message of a control service and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of the failure.
+    pub async fn control(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        message: Vec<u8>,
+        wait: Duration,
+    ) -> Result<Bytes, ErrorKind> {
+        let work = async {
+            let sender = self.sender(address).await.ok_or(ErrorKind::ConnectFailed)?;
+            let sent = send(sender, uri(path), message.into(), Bytes::new(), CONTROL_MAX_BYTES);
+            sent.await.map_err(|outcome| outcome.kind().unwrap_or(ErrorKind::Internal))
+        };
+        timeout(wait, work).await.unwrap_or(Err(ErrorKind::UpstreamTimeout))
+    }
+
+    /// Closes all connections once their calls have ended.
+    pub fn disconnect(&self) {
+        self.peers.write().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Returns a handle that may send, over the open connection or a new one.
+    async fn sender(&self, address: SocketAddr) -> Option<Sender> {
+        let peer = self.peer(address);
+        if let Some(sender) = ready(&peer).await {
+            return Some(sender);
+        }
+        let _opening = peer.opening.lock().await;
+        if let Some(sender) = ready(&peer).await {
+            return Some(sender);
+        }
+        let opened = timeout(self.connect_timeout, open(address)).await.ok().flatten()?;
+        *peer.lock() = Some(opened.clone());
+        opened.ready().await.ok()
+    }
+
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        let known = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = known.get(&address) {
+            return peer.clone();
+        }
+        drop(known);
+        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        peers.entry(address).or_default().clone()
+    }
+}
+
+/// Returns a handle of the open connection; forgets a connection that is closed.
+async fn ready(peer: &Peer) -> Option<Sender> {
+    let sender = peer.lock().clone()?;
+    match sender.ready().await {
+        Ok(sender) => Some(sender),
+        Err(_) => {
+            peer.lock().take();
+            None
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> Option<Sender> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    prepare(&stream).ok()?;
+    let mut builder = Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_frame_size(MAX_FRAME)
+        .max_header_list_size(MAX_HEADER_LIST)
+        .initial_max_send_streams(MAX_STREAMS as usize)
+        .max_concurrent_reset_streams(MAX_RESET_STREAMS)
+        .max_local_error_reset_streams(Some(MAX_RESET_STREAMS))
+        .enable_push(false);
+    let (sender, connection) = builder.handshake(h2_io(stream)).await.ok()?;
+    task::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Some(sender)
+}
+
+fn uri(path: &'static str) -> Uri {
+    let mut parts = http::uri::Parts::default();
+    parts.scheme = Some(http::uri::Scheme::HTTP);
+    parts.authority = Some(http::uri::Authority::from_static("node"));
+    parts.path_and_query = Some(PathAndQuery::from_static(path));
+    Uri::from_parts(parts).unwrap_or_default()
+}
+
+async fn send(
+    mut sender: Sender,
+    uri: Uri,
+    frame: Bytes,
+    rest: Bytes,
+    body_max: usize,
+) -> Result<Bytes, Outcome> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = uri;
+    // Until the first data is queued nothing of the call can have been run.
+    let not_sent = |_| Outcome::NotRun(ErrorKind::ConnectFailed);
+    let (response, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
+    stream.send_data(frame, rest.is_empty()).map_err(|error| failure(&error))?;
+    if !rest.is_empty() {
+        stream.send_data(rest, true).map_err(|error| failure(&error))?;
+    }
+    let response = response.await.map_err(|error| failure(&error))?;
+    if response.status() != http::StatusCode::OK {
+        return Err(Outcome::Unknown(ErrorKind::PeerProtocol));
+    }
+    let mut body = response.into_body();
+    let message = read_message(&mut body, body_max).await;
+    message.map_err(|_| Outcome::Unknown(ErrorKind::ConnectionLost))
+}
+
+/// Returns how an attempt ended whose stream failed before its answer.
+fn failure(error: &h2::Error) -> Outcome {
+    // A refused stream was not processed. So was a stream above the last id of a GOAWAY, but the
+    // library reports those like any other connection error, so only the reset counts as proof.
+    if error.is_remote() && error.is_reset() && error.reason() == Some(Reason::REFUSED_STREAM) {
+        return Outcome::NotRun(ErrorKind::Draining);
+    }
+    match error.reason() {
+        Some(Reason::PROTOCOL_ERROR) => Outcome::Unknown(ErrorKind::PeerProtocol),
+        _ => Outcome::Unknown(ErrorKind::ConnectionLost),
+    }
+}
--- /dev/null
+++ b/src/node/owner.rs
@@ -0,0 +1,334 @@
+//! The owner: all work for the local upstream enters through it.
+
+pub mod exchange;
+pub mod pool;
+pub mod state;
+
+use std::{
+    future::poll_fn,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::Poll,
+    time::Instant,
+};
+
+use bytes::Bytes;
+use oleandertiller_model::{
+    Clock, ErrorKind, LoadReport, Outcome, VersionName,
+    codec::PROTOCOL_VERSION,
+    message::{CallHead, ReplyHead, Role},
+};
+use oleandertiller_routing::limit::{Admission, Ask, Ended, Limiter};
+
+use self::{
+    exchange::{Answer, encode_head, exchange},
+    pool::Pool,
+    state::{Announcement, State, Waiting},
+};
+use crate::node::{config::NodeConfig, metrics::Metrics, timer::Timers, view::ViewCell};
+
+/// Keeper of the local upstream's limit, connections and life cycle.
+pub struct Owner<C> {
+    cfg: Arc<NodeConfig>,
+    clock: C,
+    view: ViewCell,
+    timers: Timers,
+    metrics: Metrics,
+    state: Mutex<State>,
+    pool: Pool,
+    draining: AtomicBool,
+}
+
+/// A slot of the limiter, given back when dropped.
+struct Slot<'a, C: Clock> {
+    owner: &'a Owner<C>,
+    upstream: Arc<Announcement>,
+    started: Instant,
+    ended: Ended,
+}
+
+impl<C: Clock> Drop for Slot<'_, C> {
+    fn drop(&mut self) {
+        let now = self.owner.clock.now();
+        self.owner.lock().release(self.ended, now);
+    }
+}
+
+/// A place in the queue, given up when dropped.
+struct Place<'a, C: Clock> {
+    owner: &'a Owner<C>,
+    ticket: u64,
+}
+
+impl<C: Clock> Drop for Place<'_, C> {
+    fn drop(&mut self) {
+        let now = self.owner.clock.now();
+        let mut state = self.owner.lock();
+        let Some(waiting) = state.waiting.remove(&self.ticket) else { return };
+        match waiting.decision {
+            Some(Admission::Run) => state.release(Ended::Ignored, now),
+            Some(_) => {}
+            None => state.limiter.withdraw(self.ticket),
+        }
+    }
+}
+
+impl<C: Clock> Owner<C> {
+    /// Creates the owner of an upstream that has not been announced yet.
+    pub fn new(
+        cfg: Arc<NodeConfig>,
+        clock: C,
+        view: ViewCell,
+        timers: Timers,
+        metrics: Metrics,
+    ) -> Self {
+        let state = Mutex::new(State::new(Limiter::new(cfg.limit.clone())));
+        let (pool, draining) = (Pool::default(), AtomicBool::new(false));
+        Self { cfg, clock, view, timers, metrics, state, pool, draining }
+    }
+
+    /// Takes an announcement of the local upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::UnknownService`] when the announcement names another service.
+    pub fn announce(&self, announcement: Announcement) -> Result<(), ErrorKind> {
+        if announcement.service != self.cfg.service {
+            return Err(ErrorKind::UnknownService);
+        }
+        let now = self.clock.now();
+        let lifecycle = announcement.lifecycle;
+        let (instance, version) = (announcement.instance.clone(), announcement.version.clone());
+        let restarted = self.lock().announce(announcement, now);
+        if restarted {
+            log::info!("upstream instance {instance} of version {version} is {lifecycle:?}");
+            self.pool.clear();
+        }
+        Ok(())
+    }
+
+    /// Returns the last announcement of a present upstream.
+    pub fn upstream(&self) -> Option<Arc<Announcement>> {
+        self.lock().upstream.clone()
+    }
+
+    /// Returns the present load.
+    pub fn load(&self) -> LoadReport {
+        let revision = self.view.load().intent.revision;
+        self.lock().report(self.is_draining(), revision)
+    }
+
+    /// Expires waits, announcements and idle connections; to be called every few milliseconds.
+    pub fn tick(&self, now: Instant) {
+        {
+            let mut state = self.lock();
+            let decisions = state.limiter.expire(now);
+            state.decide(decisions, now);
+            state.expire_announcement(self.cfg.announce_timeout, now);
+            self.metrics.in_flight.set(state.limiter.in_flight().into());
+            self.metrics.queued.set(state.limiter.queued().into());
+            self.metrics.limit.set(state.limiter.limit().into());
+        }
+        self.pool.expire(now);
+    }
+
+    /// Runs a call at the upstream, at the latest until `deadline`, or refuses it.
+    pub async fn run(&self, call: &CallHead, deadline: Instant, body: &[u8]) -> (ReplyHead, Bytes) {
+        let ended = match call.role {
+            Role::Probe => Err(Outcome::Done),
+            _ => self.attempt(call, deadline, body).await,
+        };
+        let mut load = self.load();
+        let (outcome, answer) = match ended {
+            Ok(answer) => (Outcome::Done, answer),
+            Err(outcome) => (outcome, no_answer()),
+        };
+        // An upstream may have been replaced between its announcement and its answer.
+        if let Some(version) = answer.version.filter(|version| *version != load.version.as_str()) {
+            load.version = VersionName::new(version);
+        }
+        let head = ReplyHead {
+            protocol: PROTOCOL_VERSION,
+            request: call.request,
+            outcome,
+            status: answer.status,
+            content_type: answer.content_type,
+            body_len: answer.body.len() as u64,
+            load,
+        };
+        (head, answer.body)
+    }
+
+    async fn attempt(
+        &self,
+        call: &CallHead,
+        deadline: Instant,
+        body: &[u8],
+    ) -> Result<Answer, Outcome> {
+        let mut slot = self.admit(call, deadline).await.map_err(Outcome::NotRun)?;
+        let result = self.hand_over(&slot.upstream, call, deadline, body).await;
+        let elapsed = self.clock.now().saturating_duration_since(slot.started);
+        slot.ended = match &result {
+            Ok(answer) if answer.status < 500 => Ended::Success(elapsed),
+            Ok(_) | Err(Outcome::Unknown(_)) => Ended::Failure(elapsed),
+            Err(Outcome::NotRun(ErrorKind::ConnectFailed)) => Ended::Failure(elapsed),
+            Err(_) => Ended::Ignored,
+        };
+        result
+    }
+
+    async fn hand_over(
+        &self,
+        upstream: &Announcement,
+        call: &CallHead,
+        deadline: Instant,
+        body: &[u8],
+    ) -> Result<Answer, Outcome> {
+        let conn = self.connect(upstream, deadline).await.map_err(Outcome::NotRun)?;
+        let remaining = deadline.saturating_duration_since(self.clock.now());
+        if remaining.is_zero() {
+            return Err(Outcome::NotRun(ErrorKind::DeadlineExceeded));
+        }
+        let head = encode_head(call, upstream.address, remaining, body.len());
+        let head = head.map_err(Outcome::NotRun)?;
+        let work = exchange(&conn, head, body, call.request, self.cfg.body_max_bytes);
+        // Dropping the connection tells the upstream that the request is cancelled.
+        let result = self.timers.within(deadline, work).await;
+        let answer = result.unwrap_or(Err(ErrorKind::UpstreamTimeout)).map_err(Outcome::Unknown)?;
+        if answer.keep_alive {
+            self.pool.put(conn, upstream.address, self.clock.now());
+        }
+        Ok(answer)
+    }
+
+    async fn connect(
+        &self,
+        upstream: &Announcement,
+        deadline: Instant,
+    ) -> Result<super::conn::Conn, ErrorKind> {
+        let now = self.clock.now();
+        let until = deadline.min(now + self.cfg.connect_timeout);
+        match self.timers.within(until, self.pool.take(upstream.address, now)).await {
+            Some(Ok(conn)) => Ok(conn),
+            None if until == deadline => Err(ErrorKind::DeadlineExceeded),
+            _ => Err(ErrorKind::ConnectFailed),
+        }
+    }
+
+    async fn admit(&self, call: &CallHead, deadline: Instant) -> Result<Slot<'_, C>, ErrorKind> {
+        let weight = self.check(call)?;
+        let now = self.clock.now();
+        let (ticket, admission) = {
+            let mut state = self.lock();
+            let ticket = state.next_ticket;
+            state.next_ticket += 1;
+            let ask = Ask { ticket, weight, depth: call.depth, deadline };
+            let admission = state.limiter.ask(ask, now);
+            if admission == Admission::Wait {
+                state.waiting.insert(ticket, Waiting::default());
+            }
+            (ticket, admission)
+        };
+        match admission {
+            Admission::Run => {}
+            Admission::Wait => self.wait(ticket).await?,
+            Admission::Refuse(kind) => return Err(kind),
+        }
+        self.slot()
+    }
+
+    /// Takes over a slot that the limiter has granted.
+    fn slot(&self) -> Result<Slot<'_, C>, ErrorKind> {
+        let started = self.clock.now();
+        let mut state = self.lock();
+        match state.upstream.clone() {
+            Some(upstream) => {
+                drop(state);
+                Ok(Slot { owner: self, upstream, started, ended: Ended::Ignored })
+            }
+            None => {
+                state.release(Ended::Ignored, started);
+                Err(ErrorKind::NoUpstream)
+            }
+        }
+    }
+
+    async fn wait(&self, ticket: u64) -> Result<(), ErrorKind> {
+        let _place = Place { owner: self, ticket };
+        let decision = poll_fn(|cx| {
+            let mut state = self.lock();
+            let Some(waiting) = state.waiting.get_mut(&ticket) else {
+                return Poll::Ready(Admission::Refuse(ErrorKind::Internal));
+            };
+            match waiting.decision {
+                Some(decision) => {
+                    state.waiting.remove(&ticket);
+                    Poll::Ready(decision)
+                }
+                None => {
+                    waiting.waker = Some(cx.waker().clone());
+                    Poll::Pending
+                }
+            }
+        });
+        match decision.await {
+            Admission::Refuse(kind) => Err(kind),
+            Admission::Run | Admission::Wait => Ok(()),
+        }
+    }
+
+    /// Checks what does not depend on load; returns the weight of the kind.
+    fn check(&self, call: &CallHead) -> Result<u32, ErrorKind> {
+        if self.is_draining() {
+            return Err(ErrorKind::Draining);
+        }
+        let view = self.view.load();
+        if !view.fresh {
+            return Err(ErrorKind::StaleIntent);
+        }
+        if !view.intent.zone_in_service(&self.cfg.zone) {
+            return Err(ErrorKind::ZoneOut);
+        }
+        if call.depth > self.cfg.max_depth {
+            return Err(ErrorKind::DepthExceeded);
+        }
+        if call.service != self.cfg.service {
+            return Err(ErrorKind::UnknownService);
+        }
+        let service = view.intent.services.get(&call.service).ok_or(ErrorKind::UnknownService)?;
+        let kind = service.kind(call.kind.as_str()).ok_or(ErrorKind::UnknownKind)?;
+        Ok(kind.weight)
+    }
+
+    /// Refuses new work from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether new work is refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Closes the idle connections to the upstream.
+    pub fn disconnect(&self) {
+        self.pool.clear();
+    }
+
+    /// Returns whether requests are at the upstream or in the queue.
+    pub fn is_busy(&self) -> bool {
+        let state = self.lock();
+        state.limiter.in_flight() > 0 || !state.waiting.is_empty()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn no_answer() -> Answer {
+    let body = Bytes::new();
+    Answer { status: 0, content_type: None, version: None, body, keep_alive: false }
+}
--- /dev/null
+++ b/src/node/owner/exchange.rs
@@ -0,0 +1,146 @@
+//! One request and its answer on a connection to the upstream.
+
+use std::{io::Write, net::SocketAddr, time::Duration};
+
+use async_h1::client;
+use bytes::Bytes;
+use futures_util::AsyncReadExt;
+use oleandertiller_model::{ErrorKind, message::CallHead};
+use tide::http::{Response, headers::CONTENT_LENGTH};
+use uuid::Uuid;
+
+use crate::node::{config::HEAD_MAX_BYTES, conn::Conn};
+
+/// A whole answer of the upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// `content-type` of the body, if any.
+    pub content_type: Option<String>,
+    /// Version that the upstream names on the answer.
+    pub version: Option<String>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+/// Returns whether `text` can stand in a request line or a header.
+fn is_header_safe(text: &str) -> bool {
+    text.bytes().all(|b| b.is_ascii_graphic() || b == b' ')
+}
+
+/// Encodes the head of the request for the upstream.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BadRequest`] when a field of `call` would break the head.
+pub fn encode_head(
+    call: &CallHead,
+    address: SocketAddr,
+    remaining: Duration,
+    body_len: usize,
+) -> Result<Vec<u8>, ErrorKind> {
+    let path = upstream_path(call).ok_or(ErrorKind::BadRequest)?;
+    let method_valid = matches!(call.method.as_str(), "GET" | "POST");
+    let texts = [Some(path), call.content_type.as_deref(), call.key_text.as_deref()];
+    if !method_valid || path.contains(' ') || !texts.iter().flatten().all(|t| is_header_safe(t)) {
+        return Err(ErrorKind::BadRequest);
+    }
+    let mut head = Vec::with_capacity(512 + body_len.min(4096));
+    let millis = remaining.as_millis().max(1);
+    // The upstream copies the depth to the calls that it makes, so it is given theirs.
+    let depth = call.depth.saturating_add(1);
+    let _ = write!(
+        head,
+        "{} {path} HTTP/1.1\r\nhost: {address}\r\nx-request-id: {}\r\nx-deadline-ms: {millis}\r\n\
+         x-call-depth: {depth}\r\ncontent-length: {body_len}\r\n",
+        call.method, call.request,
+    );
+    if let Some(content_type) = &call.content_type {
+        let _ = write!(head, "content-type: {content_type}\r\n");
+    }
+    if let Some(key) = &call.key_text {
+        let _ = write!(head, "idempotency-key: {key}\r\n");
+    }
+    head.extend_from_slice(b"\r\n");
+    Ok(head)
+}
+
+/// Returns the path without the service's segment.
+fn upstream_path(call: &CallHead) -> Option<&str> {
+    let rest = call.path.strip_prefix('/')?.strip_prefix(call.service.as_str())?;
+    let kind = rest.strip_prefix('/')?.strip_prefix(call.kind.as_str())?;
+    (kind.is_empty() || kind.starts_with(['/', '?'])).then_some(rest)
+}
+
+/// Sends a request and reads its whole answer.
+///
+/// # Errors
+///
+/// Returns the kind of the failure; the request may have run.
+pub async fn exchange(
+    conn: &Conn,
+    head: Vec<u8>,
+    body: &[u8],
+    request: Uuid,
+    body_max: usize,
+) -> Result<Answer, ErrorKind> {
+    let written = conn.write_message(head, body).await;
+    written.map_err(|_| ErrorKind::ConnectionLost)?;
+    conn.begin_head(HEAD_MAX_BYTES);
+    let decoded = client::decode(conn.clone()).await;
+    conn.end_head();
+    let mut answer = decoded.map_err(|_| ErrorKind::ConnectionLost)?;
+    check_id(&answer, request)?;
+    let body = read_body(conn, &mut answer, body_max).await?;
+    Ok(Answer {
+        status: answer.status().into(),
+        content_type: header(&answer, "content-type"),
+        version: header(&answer, "x-upstream-version"),
+        body: body.into(),
+        keep_alive: answer.header("connection").is_none_or(|v| v.last().as_str() != "close"),
+    })
+}
+
+fn header(answer: &Response, name: &str) -> Option<String> {
+    answer.header(name).map(|values| values.last().as_str().to_owned())
+}
+
+/// Checks that the answer belongs to the request.
+fn check_id(answer: &Response, request: Uuid) -> Result<(), ErrorKind> {
+    let echoed = answer.header("x-request-id").filter(|values| values.iter().count() == 1);
+    let echoed = echoed.and_then(|values| Uuid::try_parse(values.last().as_str()).ok());
+    if echoed == Some(request) { Ok(()) } else { Err(ErrorKind::MismatchedAnswer) }
+}
+
+async fn read_body(
+    conn: &Conn,
+    answer: &mut Response,
+    body_max: usize,
+) -> Result<Vec<u8>, ErrorKind> {
+    if let Some(lengths) = answer.header(CONTENT_LENGTH) {
+        let single = lengths.iter().count() == 1;
+        let len: Option<usize> = lengths.last().as_str().parse().ok();
+        let len = len.filter(|len| single && *len <= body_max);
+        let len = len.ok_or(ErrorKind::TruncatedAnswer)?;
+        return conn.read_body(len).await.map_err(|_| ErrorKind::TruncatedAnswer);
+    }
+    let bodyless = matches!(u16::from(answer.status()), 204 | 304);
+    if bodyless {
+        return Ok(Vec::new());
+    }
+    // Without a length and without chunks the end of the body cannot be told from a broken
+    // connection.
+    if answer.header("transfer-encoding").is_none_or(|v| v.last().as_str() != "chunked") {
+        return Err(ErrorKind::TruncatedAnswer);
+    }
+    let mut body = Vec::new();
+    let mut reader = answer.take_body().into_reader().take(body_max as u64 + 1);
+    let read = reader.read_to_end(&mut body).await;
+    match read {
+        Ok(_) if body.len() <= body_max => Ok(body),
+        _ => Err(ErrorKind::TruncatedAnswer),
+    }
+}
--- /dev/null
+++ b/src/node/timer.rs
@@ -0,0 +1,97 @@
+//! Coarse timers for deadlines on the request path.
+//!
+//! A timer of the async runtime wakes its reactor through a system call when it is set. These
+//! timers only take a lock; one task fires those that are due, every [`TICK`].
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    pin::{Pin, pin},
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll, Waker},
+    time::{Duration, Instant},
+};
+
+use futures_util::future::{Either, select};
+
+/// Time between two rounds, and so the error of a timer.
+pub const TICK: Duration = Duration::from_millis(5);
+
+type Key = (Instant, u64);
+
+#[derive(Default)]
+struct Entries {
+    wakers: BTreeMap<Key, Waker>,
+    next: u64,
+}
+
+/// All timers of a node.
+#[derive(Clone, Default)]
+pub struct Timers(Arc<Mutex<Entries>>);
+
+impl Timers {
+    /// Creates a timer that ends at `at`.
+    pub fn at(&self, at: Instant) -> Timer {
+        Timer { timers: self.clone(), at, key: None }
+    }
+
+    /// Runs `work` until `at`; returns `None` and drops it when it has not ended by then.
+    pub async fn within<F: Future>(&self, at: Instant, work: F) -> Option<F::Output> {
+        match select(pin!(work), self.at(at)).await {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// Wakes the timers that are due.
+    pub fn fire(&self, now: Instant) {
+        let due = {
+            let mut entries = self.lock();
+            let later = entries.wakers.split_off(&(now, u64::MAX));
+            std::mem::replace(&mut entries.wakers, later)
+        };
+        due.into_values().for_each(Waker::wake);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Entries> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A future that ends at a set time.
+pub struct Timer {
+    timers: Timers,
+    at: Instant,
+    key: Option<Key>,
+}
+
+impl Future for Timer {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let timers = self.timers.clone();
+        let mut entries = timers.lock();
+        let Some(key) = self.key else {
+            let key = (self.at, entries.next);
+            entries.next += 1;
+            entries.wakers.insert(key, cx.waker().clone());
+            self.key = Some(key);
+            return Poll::Pending;
+        };
+        match entries.wakers.get_mut(&key) {
+            Some(waker) => {
+                waker.clone_from(cx.waker());
+                Poll::Pending
+            }
+            None => Poll::Ready(()),
+        }
+    }
+}
+
+impl Drop for Timer {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.timers.lock().wakers.remove(&key);
+        }
+    }
+}
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -49,6 +49,18 @@
         self.0.load_full()
     }
 
+    /// Fills the view with a fixed fleet, for tests and for fleets without gossip.
+    pub fn fill(&self, intent: Intent, owners: Vec<(ServiceName, Vec<OwnerInfo>)>) {
+        let intent = Arc::new(intent);
+        let owners: HashMap<_, Arc<[OwnerInfo]>> =
+            owners.into_iter().map(|(service, owners)| (service, owners.into())).collect();
+        self.update(|view| {
+            view.intent = intent.clone();
+            view.owners = owners.clone();
+            view.fresh = true;
+        });
+    }
+
     /// Replaces the view by what `update` makes of the present one.
     pub fn update(&self, update: impl Fn(&mut View)) {
         self.0.rcu(|view| {
--- /dev/null
+++ b/tests/testsuite/dataplane/faults.rs
@@ -0,0 +1,1 @@
+//! Broken clients, broken upstreams, cancellation and deadlines.
--- /dev/null
+++ b/tests/testsuite/dataplane/inner.rs
@@ -0,0 +1,1 @@
+//! The inner port against peers that break the protocol.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! Integration tests with real processes.
+
+mod dataplane;
