--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -68,7 +68,7 @@
     pub max_depth: u8,
     /// Most client connections open at once.
     pub max_clients: usize,
-    /// Number of executor threads; 1 or 2 give the shortest tail latency.
+    /// Number of executor threads; one gives the shortest tail latency, see the added_latency example.
     pub threads: usize,
     /// The owner's concurrency limit.
     pub limit: LimitConfig,
@@ -162,7 +162,7 @@
             drain_timeout: Duration::from_secs(30),
             max_depth: 12,
             max_clients: 10_000,
-            threads: 2,
+            threads: 1,
             limit: LimitConfig::default(),
             selection: SelectionConfig::default(),
             retry: RetryConfig::default(),
--- a/tests/testsuite/dataplane/inner.rs
+++ b/tests/testsuite/dataplane/inner.rs
@@ -1,1 +1,200 @@
-//! The inner port against peers that break the protocol.
+//! The inner port against peers that break the protocol, and the control services' messages.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_std::{
+    io::{ReadExt, WriteExt},
+    net::{TcpListener, TcpStream},
+    task::{self, block_on},
+};
+use bytes::Bytes;
+use h2::Reason;
+use http::{Request, Response};
+use oleandertiller::node::{
+    Node,
+    inner::{ControlHandler, client::InnerClient},
+    timer::Timers,
+    view::ViewCell,
+};
+use oleandertiller_model::{ErrorKind, SystemClock, message::INTENT_PATH};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use super::fleet::*;
+
+/// Sends one message as a raw `h2` client; returns the answer or the reset.
+async fn send_raw(address: SocketAddr, path: &str, message: &[u8]) -> Result<Bytes, h2::Error> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (sender, connection) = h2::client::handshake(stream.compat()).await?;
+    task::spawn(connection);
+    let request = Request::post(format!("http://node{path}")).body(()).unwrap();
+    let (response, mut body) = sender.ready().await?.send_request(request, false)?;
+    body.send_data(Bytes::copy_from_slice(message), true)?;
+    let mut answer = response.await?.into_body();
+    let mut joined = Vec::new();
+    while let Some(data) = answer.data().await {
+        joined.extend_from_slice(&data?);
+    }
+    Ok(joined.into())
+}
+
+/// Guards against panics and runs for bytes that are no `h2`.
+#[test]
+fn garbage_closes_the_connection() {
+    block_on(async {
+        let member = single(config("alone")).await;
+        for bytes in [
+            &b"GET / HTTP/1.1\r\n\r\n"[..],
+            &[0xff; 4_096],
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\x01\xff",
+        ] {
+            let mut stream = TcpStream::connect(member.node.config().inner).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            let mut rest = Vec::new();
+            let read = stream.read_to_end(&mut rest);
+            let _ = async_std::future::timeout(STEP, read).await.expect("the connection is closed");
+        }
+        let mut client = Client::connect(member.node.client_addr()).await;
+        assert_eq!(client.get("/kettle/temper").await.status(), 200);
+    });
+}
+
+/// Guards against messages of another version being read as this one's, and against broken
+/// lengths that reserve memory or cut a head.
+#[test]
+fn foreign_messages_are_reset() {
+    block_on(async {
+        let member = single(config("alone").with_body_max_bytes(1_000)).await;
+        let address = member.node.config().inner;
+        let other_version = [8, 0, 0, 0, 2, 1, 2, 3, 4, 5, 6, 7];
+        let no_head = [8, 0, 0, 0, 1, 1, 2, 3, 4, 5, 6, 7];
+        let too_long = [0xff, 0xff, 0xff, 0xff, 1, 1];
+        let cut = [100, 0, 0, 0, 1];
+        let big = vec![0; 200_000];
+        let cases: [(&str, &[u8], Reason); 8] = [
+            ("/call", &other_version, Reason::REFUSED_STREAM),
+            ("/call", &no_head, Reason::PROTOCOL_ERROR),
+            ("/call", &too_long, Reason::PROTOCOL_ERROR),
+            ("/call", &cut, Reason::PROTOCOL_ERROR),
+            ("/call", &[], Reason::PROTOCOL_ERROR),
+            ("/call", &[1, 0], Reason::PROTOCOL_ERROR),
+            ("/call", &big, Reason::REFUSED_STREAM),
+            ("/nothing", &[], Reason::REFUSED_STREAM),
+        ];
+        for (path, message, reason) in cases {
+            let error = send_raw(address, path, message).await.expect_err("a reset");
+            assert_eq!(error.reason(), Some(reason), "{path} {error}");
+        }
+        assert_eq!(member.upstream.record.runs(), 0);
+    });
+}
+
+/// How a false owner treats the streams that it gets.
+#[derive(Clone, Copy)]
+enum Owner {
+    Refuse,
+    Garbage,
+    Vanish,
+    HttpError,
+}
+
+async fn false_owner(behaviour: Owner) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut link = h2::server::handshake(stream.compat()).await.unwrap();
+            while let Some(Ok((_request, mut respond))) = link.accept().await {
+                match behaviour {
+                    Owner::Refuse => respond.send_reset(Reason::REFUSED_STREAM),
+                    Owner::Garbage => {
+                        let mut body = respond.send_response(Response::new(()), false).unwrap();
+                        body.send_data(Bytes::from_static(b"\x05\0\0\0garbage"), true).unwrap();
+                    }
+                    Owner::Vanish => break,
+                    Owner::HttpError => {
+                        let response = Response::builder().status(500).body(()).unwrap();
+                        respond.send_response(response, true).unwrap();
+                    }
+                }
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a wrong account of calls whose owner breaks the protocol: only a refused stream
+/// proves that the request was not run.
+#[test]
+fn false_owners_give_the_right_outcome() {
+    block_on(async {
+        let ingress = Member::start(config("ingress")).await;
+        let cases = [
+            (Owner::Refuse, "not-run", "draining"),
+            (Owner::Garbage, "unknown", "peer-protocol"),
+            (Owner::HttpError, "unknown", "peer-protocol"),
+            (Owner::Vanish, "unknown", "connection-lost"),
+        ];
+        for (behaviour, outcome, reason) in cases {
+            let mut info = ingress.info();
+            info.node = "false".into();
+            info.inner = false_owner(behaviour).await;
+            show(&[&ingress], vec![info]);
+            let mut client = Client::connect(ingress.node.client_addr()).await;
+            for _ in 0..3 {
+                let answer = client.get("/kettle/release").await;
+                let found = (answer.header("x-outcome"), answer.header("x-reason"));
+                assert_eq!(found, (outcome, reason));
+            }
+        }
+    });
+}
+
+/// Guards against a burst of cancelled calls closing the connection for the others on it.
+#[test]
+fn many_cancelled_calls_leave_the_connection_open() {
+    block_on(async {
+        let (ingress, owner) = pair().await;
+        let address = ingress.node.client_addr();
+        let steady = task::spawn(async move {
+            Client::connect(address).await.get("/kettle/release?sleep=900").await
+        });
+        for _ in 0..4 {
+            let mut clients = Vec::new();
+            for _ in 0..50 {
+                let client = Client::connect(address).await;
+                let request = b"GET /kettle/release?sleep=5000 HTTP/1.1\r\nhost: n\r\n\r\n";
+                (&client.stream).write_all(request).await.unwrap();
+                clients.push(client);
+            }
+            task::sleep(Duration::from_millis(20)).await;
+            drop(clients);
+            eventually("all are cancelled", || owner.node.owner().load().in_flight <= 1).await;
+        }
+        assert_eq!(steady.await.status(), 200);
+    });
+}
+
+struct Echo;
+
+impl ControlHandler for Echo {
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        (path == INTENT_PATH).then(|| body.to_vec())
+    }
+}
+
+/// Guards against messages of the control services that do not reach their handler.
+#[test]
+fn control_messages_reach_their_handler() {
+    block_on(async {
+        let (cfg, view) = (config("alone"), ViewCell::default());
+        let node = Node::start_with(cfg, SystemClock, view, Echo, |_| {}).await.unwrap();
+        let address = node.config().inner;
+        let wait = Duration::from_secs(1);
+        let client = InnerClient::new(SystemClock, Timers::default(), wait, 1_000);
+        let answer = client.control(address, INTENT_PATH, vec![7; 500_000], wait).await;
+        assert_eq!(answer.unwrap(), vec![7; 500_000]);
+        let answer = client.control(address, "/nothing", vec![], wait).await;
+        assert_eq!(answer.unwrap_err(), ErrorKind::Draining);
+    });
+}
