Add the operators' language and the scenario script grammar

Cause: operators and scenario authors need one language whose errors point at the fault, and the settings file needs the same syntax for request kinds. Ruled out: a default for the safety of a request kind (a kind left at "idempotent" by mistake would be run twice, so one of `idempotent` and `at most once` must be stated); local time in `by 18:00` (a fleet spans time zones, so times are UTC); one parse of a whole script (it stops at the first fault, so a script is parsed line by line).

--- /dev/null
+++ b/crates/language/src/error.rs
@@ -0,0 +1,196 @@
+//! Errors that point at a position in a line.
+
+use std::fmt;
+
+use pest::error::{ErrorVariant, InputLocation};
+
+use crate::{nearest::nearest, parse::Rule};
+
+/// Longest part of a line that an error shows, in characters.
+const SHOWN_MAX: usize = 400;
+
+/// A line that could not be understood.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SyntaxError {
+    /// Number of the line, from 1.
+    pub line: usize,
+    /// First character at fault, from 1.
+    pub column: usize,
+    /// Number of characters at fault, at least 1.
+    pub width: usize,
+    /// The line itself.
+    pub source: String,
+    /// What is wrong.
+    pub message: String,
+    /// The known word that may have been meant.
+    pub suggestion: Option<String>,
+}
+
+impl SyntaxError {
+    /// Creates an error for the bytes from `start` to `end` of `source`.
+    pub(crate) fn at(source: &str, start: usize, end: usize, message: impl Into<String>) -> Self {
+        let chars = |to: usize| source.get(..to).map_or(0, |text| text.chars().count());
+        let (start, end) = (chars(start), chars(end));
+        Self {
+            line: 1,
+            column: start + 1,
+            width: end.saturating_sub(start).max(1),
+            source: source.to_owned(),
+            message: message.into(),
+            suggestion: None,
+        }
+    }
+
+    pub(crate) fn with_suggestion(mut self, suggestion: Option<&str>) -> Self {
+        self.suggestion = suggestion.map(str::to_owned);
+        self
+    }
+
+    pub(crate) fn with_line(mut self, line: usize) -> Self {
+        self.line = line;
+        self
+    }
+
+    /// Returns the keywords that were expected at byte `at`; none if the fault lies before it.
+    pub(crate) fn expected(error: &pest::error::Error<Rule>, at: usize) -> Vec<String> {
+        let InputLocation::Pos(start) = error.location else { return Vec::new() };
+        let ErrorVariant::ParsingError { positives, .. } = &error.variant else {
+            return Vec::new();
+        };
+        if start != at {
+            return Vec::new();
+        }
+        let words = expected_words(positives);
+        words.iter().filter_map(|word| keyword(word)).map(str::to_owned).collect()
+    }
+
+    pub(crate) fn from_pest(source: &str, error: &pest::error::Error<Rule>) -> Self {
+        let start = match error.location {
+            InputLocation::Pos(start) | InputLocation::Span((start, _)) => start,
+        };
+        let word = word_at(source, start);
+        let expected = match &error.variant {
+            ErrorVariant::ParsingError { positives, .. } => expected_words(positives),
+            ErrorVariant::CustomError { .. } => Vec::new(),
+        };
+        let keywords = expected.iter().filter_map(|word| keyword(word));
+        let suggestion = nearest(word, keywords);
+        let message = match expected.is_empty() {
+            true => "not understood".to_owned(),
+            false => format!("expected {}", one_of(&expected)),
+        };
+        Self::at(source, start, start + word.len(), message).with_suggestion(suggestion)
+    }
+}
+
+impl fmt::Display for SyntaxError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Control characters could hide the fault, or steer the terminal.
+        let shown: String = self
+            .source
+            .chars()
+            .take(SHOWN_MAX)
+            .map(|c| if c.is_control() { ' ' } else { c })
+            .collect();
+        let indent = (self.column - 1).min(SHOWN_MAX);
+        let width = self.width.min(SHOWN_MAX + 1 - indent);
+        writeln!(f, "{shown}")?;
+        writeln!(f, "{}{}", " ".repeat(indent), "^".repeat(width))?;
+        write!(f, "{}", self.message)?;
+        match &self.suggestion {
+            Some(word) => write!(f, "; did you mean `{word}`?"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Returns the word of `source` that starts at byte `start`.
+fn word_at(source: &str, start: usize) -> &str {
+    let rest = source.get(start..).unwrap_or_default();
+    let ends = |c: char| c.is_whitespace() || ",;=".contains(c);
+    let end = rest.find(ends).unwrap_or(rest.len());
+    &rest[..end]
+}
+
+/// Joins `words` as "a, b or c".
+fn one_of(words: &[String]) -> String {
+    match words {
+        [] => String::new(),
+        [word] => word.clone(),
+        [first @ .., last] => format!("{} or {last}", first.join(", ")),
+    }
+}
+
+fn expected_words(rules: &[Rule]) -> Vec<String> {
+    let mut words: Vec<_> = rules.iter().flat_map(|rule| describe(*rule)).collect();
+    words.sort();
+    words.dedup();
+    words
+}
+
+/// Returns what a person has to write where the grammar wants `rule`.
+fn describe(rule: Rule) -> Vec<String> {
+    let text = match rule {
+        Rule::EOI => "the end of the line",
+        Rule::service_name => "the name of a service",
+        Rule::kind_name => "the name of a request kind",
+        Rule::zone_name => "the name of a zone",
+        Rule::version_name => "the name of a version",
+        Rule::node_name => "the name of a node",
+        Rule::fleet_name => "the name of a fleet",
+        Rule::place => "the name of a zone or node",
+        Rule::subject => "the name of a service, zone or node",
+        Rule::value => "a value",
+        Rule::reason => "the name of a refusal reason",
+        Rule::operation => "an operation id",
+        Rule::count => "a whole number",
+        Rule::percent => "a share such as 1%",
+        Rule::duration => "a time such as 50ms",
+        Rule::clock_time => "a time of day such as 18:00",
+        Rule::date_time => "a date and time such as 2026-12-04T18:00Z",
+        Rule::factor => "a factor such as 5x",
+        Rule::title => "a title in double quotes",
+        Rule::comparison => "=, <, <=, > or >=",
+        Rule::comma => "a comma",
+        Rule::equals => "=",
+        Rule::semicolon => "a semicolon",
+        Rule::attributes => return keywords(&ATTRIBUTES),
+        Rule::condition => return keywords(&["zone", "state", "version", "node"]),
+        Rule::count_expected => return keywords(&["run", "wrong", "false", "cut", "over"]),
+        Rule::share_expected => return keywords(&["goodput", "measuring"]),
+        Rule::time_expected => return keywords(&["p99"]),
+        Rule::no_new_work => return keywords(&["no"]),
+        Rule::revision_expected => return keywords(&["same"]),
+        Rule::upstream_becomes => return keywords(&["upstream"]),
+        Rule::becomes_cold => return keywords(&["cold"]),
+        Rule::becomes_normal => return keywords(&["normal"]),
+        Rule::bad_version => return keywords(&["version"]),
+        Rule::conditions => return keywords(&["where"]),
+        Rule::at_most_once => return keywords(&["at"]),
+        Rule::max_deadline => return keywords(&["max-deadline"]),
+        Rule::kw_max_deadline => return keywords(&["max-deadline"]),
+        Rule::kw_not_run => return keywords(&["not-run"]),
+        Rule::store_slow => return keywords(&["slow"]),
+        Rule::store_loses => return keywords(&["loses"]),
+        other => return keywords(&[first_word(&format!("{other:?}"))]),
+    };
+    vec![text.to_owned()]
+}
+
+const ATTRIBUTES: [&str; 7] =
+    ["weight", "idempotent", "at", "internal", "deadline", "max-deadline", "objective"];
+
+/// Returns the keyword that a description names, if it names one.
+fn keyword(description: &str) -> Option<&str> {
+    description.strip_prefix('`')?.strip_suffix('`')
+}
+
+fn keywords(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| format!("`{word}`")).collect()
+}
+
+/// Returns the keyword that a rule starts with, which its name states first.
+fn first_word(rule: &str) -> &str {
+    let rule = rule.strip_prefix("kw_").unwrap_or(rule);
+    rule.split('_').next().unwrap_or(rule)
+}
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -1,1 +1,28 @@
-//! The operators' query and command language.
+//! The operators' query and command language, and the language of scenario scripts.
+//!
+//! [`parse`] reads one line of the operators' language, [`scenario::parse`] a whole script. Both
+//! print back to text that parses to the same value.
+
+pub mod action;
+pub mod complete;
+pub mod due;
+pub mod error;
+pub mod kind;
+pub mod nearest;
+mod parse;
+pub mod scenario;
+pub mod statement;
+pub mod units;
+
+pub use action::{ActionContext, ActionError};
+pub use due::Due;
+pub use error::SyntaxError;
+pub use nearest::nearest;
+pub use parse::parse;
+pub use statement::{Command, Condition, Field, Query, Show, Statement};
+
+/// Grammar of the operators' language, as committed.
+pub const GRAMMAR: &str = include_str!("grammar.pest");
+
+/// Grammar of scenario scripts, as committed.
+pub const SCENARIO_GRAMMAR: &str = include_str!("scenario.pest");
--- /dev/null
+++ b/crates/language/src/parse.rs
@@ -0,0 +1,219 @@
+//! From text to statements.
+
+use std::time::Duration;
+
+use oleandertiller_model::{
+    ErrorKind, KindName, NodeName, ServiceName, ServiceSpec, VersionName, ZoneName,
+    intent::ZoneIntent,
+};
+use pest::{Parser, iterators::Pair};
+use pest_derive::Parser;
+use uuid::Uuid;
+
+use crate::{
+    due::Due,
+    error::SyntaxError,
+    kind::read_attributes,
+    nearest::nearest,
+    statement::{Command, Condition, Field, Query, Show, Statement},
+    units::{parse_duration, parse_percent},
+};
+
+/// Longest line accepted, in bytes; bounds the time that one line can take.
+pub const LINE_MAX_BYTES: usize = 8_192;
+
+#[derive(Parser)]
+#[grammar = "grammar.pest"]
+#[grammar = "scenario.pest"]
+pub(crate) struct Grammar;
+
+/// Parses one line of the operators' language.
+///
+/// # Errors
+///
+/// Returns [`SyntaxError`] with the position at fault and what was expected there.
+pub fn parse(line: &str) -> Result<Statement, SyntaxError> {
+    check_length(line)?;
+    let mut pairs = Grammar::parse(Rule::statement_line, line)
+        .map_err(|error| SyntaxError::from_pest(line, &error))?;
+    match pairs.next() {
+        Some(pair) => statement(line, &pair),
+        None => Err(SyntaxError::at(line, 0, line.len(), "not understood")),
+    }
+}
+
+pub(crate) fn check_length(text: &str) -> Result<(), SyntaxError> {
+    if text.len() <= LINE_MAX_BYTES {
+        return Ok(());
+    }
+    let message = format!("the line is over {LINE_MAX_BYTES} bytes long");
+    Err(SyntaxError::at(text, 0, 0, message))
+}
+
+fn statement(line: &str, pair: &Pair<'_, Rule>) -> Result<Statement, SyntaxError> {
+    let query = match pair.as_rule() {
+        Rule::help_line => return Ok(Statement::Help),
+        Rule::show_plain | Rule::show_upstreams => Query::Show(show(pair)),
+        Rule::history => Query::History {
+            of: child(pair, Rule::subject).map(|pair| pair.as_str().into()),
+            last: match child(pair, Rule::count) {
+                Some(_) => Some(count_of(line, pair)?),
+                None => None,
+            },
+        },
+        Rule::explain_rollout => Query::ExplainRollout(service(pair)),
+        Rule::explain_refusal => Query::ExplainRefusal(refusal(line, pair)?),
+        Rule::explain_upstream => Query::ExplainUpstream(node(pair)),
+        Rule::operation_id => Query::Operation(operation(line, pair)?),
+        _ => return command(line, pair).map(Statement::Command),
+    };
+    Ok(Statement::Query(query))
+}
+
+fn show(pair: &Pair<'_, Rule>) -> Show {
+    let has = |rule| child(pair, rule).is_some();
+    if pair.as_rule() == Rule::show_upstreams {
+        let of = child(pair, Rule::service_name).map(|pair| ServiceName::new(pair.as_str()));
+        return Show::Upstreams { of, conditions: conditions(pair) };
+    }
+    if let Some(nodes) = child(pair, Rule::nodes) {
+        return Show::Nodes(conditions(&nodes));
+    }
+    match () {
+        () if has(Rule::kw_zones) => Show::Zones,
+        () if has(Rule::kw_services) => Show::Services,
+        () if has(Rule::kw_rollouts) => Show::Rollouts,
+        () if has(Rule::kw_budget) => Show::Budget,
+        () => Show::Revision,
+    }
+}
+
+fn conditions(pair: &Pair<'_, Rule>) -> Vec<Condition> {
+    let Some(conditions) = child(pair, Rule::conditions) else { return Vec::new() };
+    let conditions = conditions.into_inner().filter(|pair| pair.as_rule() == Rule::condition);
+    conditions.map(|pair| condition(&pair)).collect()
+}
+
+fn condition(pair: &Pair<'_, Rule>) -> Condition {
+    let field = pair.clone().into_inner().find_map(|part| match part.as_rule() {
+        Rule::kw_zone => Some(Field::Zone),
+        Rule::kw_state => Some(Field::State),
+        Rule::kw_version => Some(Field::Version),
+        _ => None,
+    });
+    Condition { field: field.unwrap_or(Field::Node), value: text(pair, Rule::value).into() }
+}
+
+pub(crate) fn command(line: &str, pair: &Pair<'_, Rule>) -> Result<Command, SyntaxError> {
+    Ok(match pair.as_rule() {
+        Rule::zone_set => {
+            let out = child(pair, Rule::kw_out).is_some();
+            let intent = if out { ZoneIntent::Out } else { ZoneIntent::In };
+            Command::Zone(zone(pair), intent)
+        }
+        Rule::rollout_start => {
+            Command::Rollout { service: service(pair), to: version(pair), due: due(line, pair)? }
+        }
+        Rule::cancel_rollout => Command::CancelRollout(service(pair)),
+        Rule::budget_measuring => Command::BudgetMeasuring(percent_of(line, pair)?),
+        _ => Command::PutService(service_spec(line, pair)?),
+    })
+}
+
+fn due(line: &str, pair: &Pair<'_, Rule>) -> Result<Due, SyntaxError> {
+    if let Some(clock) = child(pair, Rule::clock_time) {
+        return Due::parse_clock(clock.as_str())
+            .ok_or_else(|| fault(line, &clock, "no such time of day"));
+    }
+    if let Some(date) = child(pair, Rule::date_time) {
+        return Due::parse_date_time(date.as_str())
+            .ok_or_else(|| fault(line, &date, "no such date and time"));
+    }
+    duration_of(line, pair).map(Due::In)
+}
+
+fn service_spec(line: &str, pair: &Pair<'_, Rule>) -> Result<ServiceSpec, SyntaxError> {
+    let mut spec = ServiceSpec::new(text(pair, Rule::service_name).as_str(), Vec::new());
+    for clause in pair.clone().into_inner().filter(|pair| pair.as_rule() == Rule::kind_clause) {
+        let name = KindName::new(text(&clause, Rule::kind_name));
+        if spec.kind(name.as_str()).is_some() {
+            return Err(fault(line, &clause, "the kind is stated twice"));
+        }
+        if let Some(attributes) = child(&clause, Rule::attributes) {
+            spec.kinds.push(read_attributes(line, &name, &attributes)?);
+        }
+    }
+    Ok(spec)
+}
+
+fn refusal(line: &str, pair: &Pair<'_, Rule>) -> Result<ErrorKind, SyntaxError> {
+    let reason = text(pair, Rule::reason);
+    let known = ErrorKind::ALL.iter().find(|kind| kind.answer().name == reason);
+    known.copied().ok_or_else(|| {
+        let names = ErrorKind::ALL.iter().map(|kind| kind.answer().name);
+        let at = child(pair, Rule::reason).unwrap_or_else(|| pair.clone());
+        fault(line, &at, "no such refusal reason").with_suggestion(nearest(&reason, names))
+    })
+}
+
+fn operation(line: &str, pair: &Pair<'_, Rule>) -> Result<Uuid, SyntaxError> {
+    let id = Uuid::parse_str(&text(pair, Rule::operation));
+    id.map_err(|_| fault(line, pair, "not an operation id"))
+}
+
+pub(crate) fn service(pair: &Pair<'_, Rule>) -> ServiceName {
+    ServiceName::new(text(pair, Rule::service_name))
+}
+
+pub(crate) fn zone(pair: &Pair<'_, Rule>) -> ZoneName {
+    ZoneName::new(text(pair, Rule::zone_name))
+}
+
+pub(crate) fn version(pair: &Pair<'_, Rule>) -> VersionName {
+    VersionName::new(text(pair, Rule::version_name))
+}
+
+pub(crate) fn node(pair: &Pair<'_, Rule>) -> NodeName {
+    NodeName::new(text(pair, Rule::node_name))
+}
+
+/// Returns the first direct child of the given rule.
+pub(crate) fn child<'i>(pair: &Pair<'i, Rule>, rule: Rule) -> Option<Pair<'i, Rule>> {
+    pair.clone().into_inner().find(|part| part.as_rule() == rule)
+}
+
+/// Returns the text of a child that the grammar makes mandatory.
+pub(crate) fn text(pair: &Pair<'_, Rule>, rule: Rule) -> String {
+    child(pair, rule).map(|part| part.as_str().to_owned()).unwrap_or_default()
+}
+
+pub(crate) fn count_of(source: &str, pair: &Pair<'_, Rule>) -> Result<u32, SyntaxError> {
+    value_of(source, pair, Rule::count, |text| text.parse().ok(), "the number is too large")
+}
+
+pub(crate) fn duration_of(source: &str, pair: &Pair<'_, Rule>) -> Result<Duration, SyntaxError> {
+    value_of(source, pair, Rule::duration, parse_duration, "the time is too long")
+}
+
+pub(crate) fn percent_of(source: &str, pair: &Pair<'_, Rule>) -> Result<u32, SyntaxError> {
+    value_of(source, pair, Rule::percent, parse_percent, "the share is over 100%")
+}
+
+/// Reads the child of the given rule, whose form the grammar has checked but not its range.
+fn value_of<T>(
+    source: &str,
+    pair: &Pair<'_, Rule>,
+    rule: Rule,
+    read: impl Fn(&str) -> Option<T>,
+    message: &str,
+) -> Result<T, SyntaxError> {
+    let value = child(pair, rule).unwrap_or_else(|| pair.clone());
+    read(value.as_str()).ok_or_else(|| fault(source, &value, message))
+}
+
+/// Creates an error that points at `pair`.
+pub(crate) fn fault(source: &str, pair: &Pair<'_, Rule>, message: &str) -> SyntaxError {
+    let span = pair.as_span();
+    let end = span.start() + span.as_str().trim_end().len();
+    SyntaxError::at(source, span.start(), end, message)
+}
--- /dev/null
+++ b/crates/language/tests/language/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' language and of scenario scripts.
+
+mod errors;
+mod scenario;
+mod statement;
+mod strategies;
