Add settings, subcommands, log lines and the guide

Ruled out: `rust-ini` on the whole file (it keeps no line numbers and stops at the first error; it reads one line at a time now); setting ASYNC_STD_THREAD_COUNT from the settings (needs unsafe code). Conclusion: one table of keys drives parsing, checking and the guide's page. The services of the node, `demo`, and the text and HTML of `report` are not connected yet; `run` in src/cmd/node.rs is the place for the services.

--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -4,6 +4,7 @@
 //! print back to text that parses to the same value.
 
 pub mod action;
+pub mod advice;
 pub mod complete;
 pub mod due;
 pub mod error;
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,40 @@
+//! `check`: reports every error in a settings file.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+
+use super::failure;
+use crate::settings::{LoadError, Settings};
+
+/// Check a settings file and report all errors in it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// settings file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+impl Check {
+    pub(super) fn run(self) -> ExitCode {
+        match Settings::load(&self.file) {
+            Ok(_) => {
+                println!("{}: no errors", self.file.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => failure(&describe(&self.file.display().to_string(), &error)),
+        }
+    }
+}
+
+/// Returns all errors of a settings file, one a line.
+pub(super) fn describe(file: &str, error: &LoadError) -> String {
+    match error {
+        LoadError::Io(error) => format!("{file}: {error}"),
+        LoadError::Settings(errors) => {
+            let lines: Vec<_> = errors.iter().map(|error| format!("{file}: {error}")).collect();
+            lines.join("\n")
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod cmd;
 pub mod node;
+pub mod settings;
+pub mod telemetry;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of the `oleandertiller` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    oleandertiller::cmd::main()
+}
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,311 @@
+//! Takes typed values out of a file, and gathers errors.
+
+use std::collections::HashMap;
+
+use oleandertiller_language::{kind::parse_attributes, nearest};
+use oleandertiller_model::{KindName, KindSpec, ServiceName, ServiceSpec, name};
+
+use super::{
+    error::{Problem, SettingsError},
+    join,
+    source::{Entry, Source},
+    table::{KEYS, KIND_PREFIX, Key, OPERATORS, SERVICE_PREFIX},
+    token::{Operator, TOKEN_MIN_CHARS, Token},
+    value::{Allowed, Setting},
+};
+
+pub(super) struct Reader {
+    source: Source,
+    errors: Vec<SettingsError>,
+}
+
+impl Reader {
+    /// Takes a file and checks that its lines, sections and keys are known and not repeated.
+    pub(super) fn new(source: Source) -> Self {
+        let mut reader = Self { source, errors: Vec::new() };
+        reader.check_lines();
+        reader.check_sections();
+        reader.check_keys();
+        reader
+    }
+
+    /// Returns all errors, by line.
+    pub(super) fn finish(self) -> Vec<SettingsError> {
+        let tokens: Vec<_> = self
+            .source
+            .entries
+            .iter()
+            .filter(|entry| entry.section == OPERATORS && !entry.value.is_empty())
+            .map(|entry| entry.value.clone())
+            .collect();
+        let mut errors = self.errors;
+        errors.iter_mut().for_each(|error| error.hide(&tokens));
+        errors.sort_by_key(|error| error.line.unwrap_or(usize::MAX));
+        errors
+    }
+
+    /// Returns the value of a key of the table, or its default.
+    pub(super) fn value<T: Setting>(&mut self, section: &str, name: &str) -> Option<T> {
+        let key = KEYS.iter().find(|key| key.section == section && key.name == name)?;
+        let Some(entry) = self.entry(section, name) else {
+            if key.default.is_none() {
+                self.report_missing(key);
+            }
+            return T::parse(key.default?, &key.allowed);
+        };
+        let value = T::parse(&entry.value, &key.allowed);
+        if value.is_none() {
+            let suggestion = match key.allowed {
+                Allowed::OneOf(words) => nearest(&entry.value, words.iter().copied()),
+                _ => None,
+            };
+            self.reject_with_suggestion(section, name, &key.allowed.describe(), suggestion);
+        }
+        value
+    }
+
+    /// Reports the value of a key that is present.
+    pub(super) fn reject(&mut self, section: &str, name: &str, allowed: &str) {
+        self.reject_with_suggestion(section, name, allowed, None);
+    }
+
+    pub(super) fn reject_with_suggestion(
+        &mut self,
+        section: &str,
+        name: &str,
+        allowed: &str,
+        suggestion: Option<&str>,
+    ) {
+        let entry = self.entry(section, name);
+        let value = entry.map(|entry| entry.value.clone()).unwrap_or_default();
+        self.errors.push(SettingsError {
+            line: entry.map(|entry| entry.line),
+            section: section.to_owned(),
+            key: name.to_owned(),
+            problem: Problem::Value(value),
+            allowed: allowed.to_owned(),
+            suggestion: suggestion.map(str::to_owned),
+        });
+    }
+
+    /// Returns the operators and their tokens.
+    pub(super) fn operators(&mut self) -> Vec<Operator> {
+        let mut operators: Vec<Operator> = Vec::new();
+        for entry in self.section(OPERATORS) {
+            if !name::is_valid(&entry.key) {
+                // A line with name and token swapped would show the token.
+                let error = SettingsError { key: String::new(), ..hidden(&entry) };
+                let allowed = format!("NAME = TOKEN, where NAME is {}", Allowed::Name.describe());
+                self.errors.push(SettingsError { allowed, ..error });
+                continue;
+            }
+            let Some(token) = Token::new(&entry.value) else {
+                self.errors.push(hidden(&entry));
+                continue;
+            };
+            if operators.iter().any(|operator| operator.token == token) {
+                let allowed = "a token that no other operator has".to_owned();
+                self.errors.push(SettingsError { allowed, ..hidden(&entry) });
+                continue;
+            }
+            operators.push(Operator { name: entry.key.as_str().into(), token });
+        }
+        operators
+    }
+
+    /// Returns the services of all `[service NAME]` sections.
+    pub(super) fn services(&mut self) -> Vec<ServiceSpec> {
+        let mut services: Vec<ServiceSpec> = Vec::new();
+        for (section, line) in self.source.sections.clone() {
+            let Some(service) = service_of(&section) else { continue };
+            if services.iter().any(|known| known.name.as_str() == service) {
+                continue;
+            }
+            let allowed = match name::is_valid(service) {
+                true if self.section(&section).is_empty() => "at least one `kind NAME = ...`",
+                true => "",
+                false => &Allowed::Name.describe(),
+            };
+            if !allowed.is_empty() {
+                let problem = Problem::Value(service.to_owned());
+                self.errors.push(section_error(&section, line, problem, allowed));
+            }
+            let kinds = self.section(&section);
+            let kinds = kinds.iter().filter_map(|entry| self.kind(entry)).collect();
+            services.push(ServiceSpec { name: ServiceName::new(service), kinds });
+        }
+        services
+    }
+
+    fn kind(&mut self, entry: &Entry) -> Option<KindSpec> {
+        let kind = entry.key.strip_prefix(KIND_PREFIX).map(str::trim)?;
+        let found = || Problem::Value(entry.value.clone());
+        if !name::is_valid(kind) {
+            let allowed = format!("`kind NAME`, where NAME is {}", Allowed::Name.describe());
+            self.errors.push(entry_error(entry, found(), allowed));
+            return None;
+        }
+        match parse_attributes(&KindName::new(kind), &entry.value) {
+            Ok(kind) => Some(kind),
+            Err(error) => {
+                let allowed = format!("at character {}: {}", error.column, error.message);
+                let error = SettingsError {
+                    suggestion: error.suggestion,
+                    ..entry_error(entry, found(), allowed)
+                };
+                self.errors.push(error);
+                None
+            }
+        }
+    }
+
+    fn entry(&self, section: &str, key: &str) -> Option<&Entry> {
+        self.source.entries.iter().find(|entry| entry.section == section && entry.key == key)
+    }
+
+    fn section(&self, section: &str) -> Vec<Entry> {
+        let entries = self.source.entries.iter().filter(|entry| entry.section == section);
+        entries.cloned().collect()
+    }
+
+    fn report_missing(&mut self, key: &Key) {
+        self.errors.push(SettingsError {
+            line: None,
+            section: key.section.to_owned(),
+            key: key.name.to_owned(),
+            problem: Problem::Missing,
+            allowed: key.allowed.describe(),
+            suggestion: None,
+        });
+    }
+
+    fn check_lines(&mut self) {
+        // The line itself is not shown: it may hold a token.
+        let allowed = "`[SECTION]`, `KEY = VALUE`, or a comment after `#` or `;`";
+        let lines = self.source.unreadable.iter();
+        let errors = lines
+            .map(|(section, line)| section_error(section, *line, Problem::Unreadable, allowed));
+        self.errors.extend(errors);
+    }
+
+    fn check_sections(&mut self) {
+        for (section, line) in &self.source.sections {
+            if !is_known_section(section) {
+                let known = sections();
+                let allowed = format!("{}, service NAME", join(known.iter().copied()));
+                let mut error = section_error(section, *line, Problem::UnknownSection, &allowed);
+                error.suggestion = nearest(section, known).map(str::to_owned);
+                self.errors.push(error);
+            }
+        }
+    }
+
+    fn check_keys(&mut self) {
+        let mut first = HashMap::new();
+        for entry in &self.source.entries {
+            // The section itself is reported; its keys would only repeat that.
+            if !is_known_section(&entry.section) && !entry.section.is_empty() {
+                continue;
+            }
+            if let Some(error) = unknown_key(entry) {
+                self.errors.push(error);
+                continue;
+            }
+            let line = *first.entry((&entry.section, &entry.key)).or_insert(entry.line);
+            if line != entry.line {
+                let mut error =
+                    entry_error(entry, Problem::Repeated { first: line }, String::new());
+                if entry.section == OPERATORS && !name::is_valid(&entry.key) {
+                    error.key.clear();
+                }
+                self.errors.push(error);
+            }
+        }
+    }
+}
+
+impl SettingsError {
+    /// Hides operators' tokens, which stand here when they were written in the wrong place.
+    fn hide(&mut self, tokens: &[String]) {
+        let shows_token = |text: &str| tokens.iter().any(|token| shows(text, token));
+        if matches!(&self.problem, Problem::Value(value) if shows_token(value)) {
+            self.problem = Problem::HiddenValue;
+        }
+        for text in [&mut self.section, &mut self.key] {
+            if shows_token(text) {
+                text.clear();
+            }
+        }
+    }
+}
+
+/// Shortest token that is searched for within other text; shorter ones occur there by chance.
+const SEARCHED_MIN_BYTES: usize = 8;
+
+fn shows(text: &str, token: &str) -> bool {
+    text == token || (token.len() >= SEARCHED_MIN_BYTES && text.contains(token))
+}
+
+/// Returns the service that a section declares.
+fn service_of(section: &str) -> Option<&str> {
+    section.strip_prefix(SERVICE_PREFIX).map(str::trim)
+}
+
+fn sections() -> Vec<&'static str> {
+    let mut sections: Vec<_> = KEYS.iter().map(|key| key.section).collect();
+    sections.dedup();
+    sections.push(OPERATORS);
+    sections
+}
+
+fn is_known_section(section: &str) -> bool {
+    service_of(section).is_some() || sections().contains(&section)
+}
+
+fn unknown_key(entry: &Entry) -> Option<SettingsError> {
+    if entry.section == OPERATORS {
+        return None;
+    }
+    if service_of(&entry.section).is_some() {
+        let known = entry.key.starts_with(KIND_PREFIX);
+        let allowed = "kind NAME".to_owned();
+        return (!known).then(|| entry_error(entry, Problem::UnknownKey, allowed));
+    }
+    let keys = || KEYS.iter().filter(|key| key.section == entry.section).map(|key| key.name);
+    if keys().any(|key| key == entry.key) {
+        return None;
+    }
+    let allowed = match entry.section.is_empty() {
+        true => "keys only after a `[SECTION]`".to_owned(),
+        false => join(keys()),
+    };
+    let suggestion = nearest(&entry.key, keys()).map(str::to_owned);
+    Some(SettingsError { suggestion, ..entry_error(entry, Problem::UnknownKey, allowed) })
+}
+
+fn entry_error(entry: &Entry, problem: Problem, allowed: String) -> SettingsError {
+    SettingsError {
+        line: Some(entry.line),
+        section: entry.section.clone(),
+        key: entry.key.clone(),
+        problem,
+        allowed,
+        suggestion: None,
+    }
+}
+
+fn section_error(section: &str, line: usize, problem: Problem, allowed: &str) -> SettingsError {
+    SettingsError {
+        line: Some(line),
+        section: section.to_owned(),
+        key: String::new(),
+        problem,
+        allowed: allowed.to_owned(),
+        suggestion: None,
+    }
+}
+
+fn hidden(entry: &Entry) -> SettingsError {
+    let allowed = format!("a token of at least {TOKEN_MIN_CHARS} visible ASCII characters");
+    entry_error(entry, Problem::HiddenValue, allowed)
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,96 @@
+//! Log lines, which report changes of state only; counters tell the rest.
+
+use std::{fmt, io};
+
+use log::{Level, LevelFilter};
+use log4rs::{
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Config, Root},
+    encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
+};
+
+use crate::settings::{LogFormat, LogSettings};
+
+/// Time in UTC to the millisecond, level, message.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+const APPENDER: &str = "console";
+
+/// Starts logging to standard error, as the settings say.
+///
+/// # Errors
+///
+/// Fails when logging has been started before.
+pub fn init(settings: &LogSettings) -> io::Result<()> {
+    let config = config(settings.format, settings.level).map_err(io::Error::other)?;
+    log4rs::init_config(config).map(drop).map_err(io::Error::other)
+}
+
+fn config(
+    format: LogFormat,
+    level: LevelFilter,
+) -> Result<Config, log4rs::config::runtime::ConfigErrors> {
+    let encoder: Box<dyn Encode> = match format {
+        LogFormat::Plain => Box::new(PatternEncoder::new(PATTERN)),
+        LogFormat::Json => Box::new(JsonEncoder::new()),
+    };
+    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(console)))
+        .build(Root::builder().appender(APPENDER).build(level))
+}
+
+/// A change of state, the one form of log line.
+///
+/// In JSON the four parts are also attributes of the line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateChange {
+    /// What changed, such as `zone khan-uul`.
+    pub what: String,
+    /// State before.
+    pub from: String,
+    /// State now.
+    pub to: String,
+    /// Cause, one sentence.
+    pub why: String,
+}
+
+impl StateChange {
+    /// Describes that `what` went from one state to another.
+    pub fn new(what: impl fmt::Display, from: impl fmt::Display, to: impl fmt::Display) -> Self {
+        let why = String::new();
+        Self { what: what.to_string(), from: from.to_string(), to: to.to_string(), why }
+    }
+
+    /// Sets the cause.
+    pub fn with_why(mut self, why: impl fmt::Display) -> Self {
+        self.why = why.to_string();
+        self
+    }
+
+    /// Logs the change at level `info`, unless the state is as before.
+    pub fn log(&self) {
+        self.log_at(Level::Info);
+    }
+
+    /// Logs a change that operators should look at.
+    pub fn warn(&self) {
+        self.log_at(Level::Warn);
+    }
+
+    fn log_at(&self, level: Level) {
+        if self.from == self.to {
+            return;
+        }
+        let (what, from, to, why) =
+            (self.what.as_str(), self.from.as_str(), self.to.as_str(), self.why.as_str());
+        log::log!(level, what, from, to, why; "{self}");
+    }
+}
+
+impl fmt::Display for StateChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Quoting keeps a line break in a part from starting a line of its own.
+        write!(f, "what={:?} from={:?} to={:?} why={:?}", self.what, self.from, self.to, self.why)
+    }
+}
