Check states in conditions, wildcard listeners and cross-section errors

Cause: a misspelt state in `where state = ...` gave an empty answer instead of an error, a wildcard listener beside another one on the same port passed `check` and would have failed at start, and errors that span keys were only reported once all other errors were mended. Ruled out: a separate grammar rule for states, since the error would then name no field. Conclusion: all three are reported at once, with tests.

--- a/crates/language/src/error.rs
+++ b/crates/language/src/error.rs
@@ -104,6 +104,8 @@
     }
 }
 
+impl std::error::Error for SyntaxError {}
+
 /// Returns the word of `source` that starts at byte `start`.
 fn word_at(source: &str, start: usize) -> &str {
     let rest = source.get(start..).unwrap_or_default();
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -20,7 +20,7 @@
 pub use error::SyntaxError;
 pub use nearest::nearest;
 pub use parse::parse;
-pub use statement::{Command, Condition, Field, Query, Show, Statement};
+pub use statement::{Command, Condition, Field, Query, STATES, Show, Statement};
 
 /// Grammar of the operators' language, as committed.
 pub const GRAMMAR: &str = include_str!("grammar.pest");
--- a/crates/language/src/parse.rs
+++ b/crates/language/src/parse.rs
@@ -15,7 +15,7 @@
     error::SyntaxError,
     kind::read_attributes,
     nearest::nearest,
-    statement::{Command, Condition, Field, Query, Show, Statement},
+    statement::{Command, Condition, Field, Query, STATES, Show, Statement},
     units::{parse_duration, parse_percent},
 };
 
@@ -53,7 +53,7 @@
 fn statement(line: &str, pair: &Pair<'_, Rule>) -> Result<Statement, SyntaxError> {
     let query = match pair.as_rule() {
         Rule::help_line => return Ok(Statement::Help),
-        Rule::show_plain | Rule::show_upstreams => Query::Show(show(pair)),
+        Rule::show_plain | Rule::show_upstreams => Query::Show(show(line, pair)?),
         Rule::history => Query::History {
             of: child(pair, Rule::subject).map(|pair| pair.as_str().into()),
             last: match child(pair, Rule::count) {
@@ -70,38 +70,45 @@
     Ok(Statement::Query(query))
 }
 
-fn show(pair: &Pair<'_, Rule>) -> Show {
+fn show(line: &str, pair: &Pair<'_, Rule>) -> Result<Show, SyntaxError> {
     let has = |rule| child(pair, rule).is_some();
     if pair.as_rule() == Rule::show_upstreams {
         let of = child(pair, Rule::service_name).map(|pair| ServiceName::new(pair.as_str()));
-        return Show::Upstreams { of, conditions: conditions(pair) };
+        return Ok(Show::Upstreams { of, conditions: conditions(line, pair)? });
     }
     if let Some(nodes) = child(pair, Rule::nodes) {
-        return Show::Nodes(conditions(&nodes));
+        return conditions(line, &nodes).map(Show::Nodes);
     }
-    match () {
+    Ok(match () {
         () if has(Rule::kw_zones) => Show::Zones,
         () if has(Rule::kw_services) => Show::Services,
         () if has(Rule::kw_rollouts) => Show::Rollouts,
         () if has(Rule::kw_budget) => Show::Budget,
         () => Show::Revision,
-    }
+    })
 }
 
-fn conditions(pair: &Pair<'_, Rule>) -> Vec<Condition> {
-    let Some(conditions) = child(pair, Rule::conditions) else { return Vec::new() };
+fn conditions(line: &str, pair: &Pair<'_, Rule>) -> Result<Vec<Condition>, SyntaxError> {
+    let Some(conditions) = child(pair, Rule::conditions) else { return Ok(Vec::new()) };
     let conditions = conditions.into_inner().filter(|pair| pair.as_rule() == Rule::condition);
-    conditions.map(|pair| condition(&pair)).collect()
+    conditions.map(|pair| condition(line, &pair)).collect()
 }
 
-fn condition(pair: &Pair<'_, Rule>) -> Condition {
+fn condition(line: &str, pair: &Pair<'_, Rule>) -> Result<Condition, SyntaxError> {
     let field = pair.clone().into_inner().find_map(|part| match part.as_rule() {
         Rule::kw_zone => Some(Field::Zone),
         Rule::kw_state => Some(Field::State),
         Rule::kw_version => Some(Field::Version),
         _ => None,
     });
-    Condition { field: field.unwrap_or(Field::Node), value: text(pair, Rule::value).into() }
+    let field = field.unwrap_or(Field::Node);
+    let value = text(pair, Rule::value);
+    if field == Field::State && !STATES.contains(&value.as_str()) {
+        let message = format!("expected `{}`", STATES.join("`, `"));
+        let at = child(pair, Rule::value).unwrap_or_else(|| pair.clone());
+        return Err(fault(line, &at, &message).with_suggestion(nearest(&value, STATES)));
+    }
+    Ok(Condition { field, value: value.into() })
 }
 
 pub(crate) fn command(line: &str, pair: &Pair<'_, Rule>) -> Result<Command, SyntaxError> {
--- a/crates/language/src/statement.rs
+++ b/crates/language/src/statement.rs
@@ -80,7 +80,7 @@
 pub enum Field {
     /// Availability zone.
     Zone,
-    /// Life cycle: `absent`, `cold`, `serving` or `draining`.
+    /// Life cycle, one of [`STATES`].
     State,
     /// Version of the upstream.
     Version,
@@ -88,6 +88,9 @@
     Node,
 }
 
+/// Values that [`Field::State`] can have.
+pub const STATES: [&str; 4] = ["absent", "cold", "serving", "draining"];
+
 impl Field {
     /// Returns the word of the language.
     pub fn name(self) -> &'static str {
--- a/crates/language/tests/language/errors.rs
+++ b/crates/language/tests/language/errors.rs
@@ -14,6 +14,7 @@
         "show upstreams of Kettle",
         "show upstreams of kettle where zoen = khan-uul",
         "show upstreams where zone khan-uul",
+        "show upstreams where state = colt",
         "zone khan-uul up",
         "rollout recipe v2 by 18:00",
         "rollout recipe to v2 by 25:00",
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,10 +11,10 @@
 pub mod token;
 pub mod value;
 
-use std::{collections::HashSet, fs, io, path::Path};
+use std::{fs, io, net::SocketAddr, path::Path};
 
 use oleandertiller_language::nearest;
-use oleandertiller_model::ServiceSpec;
+use oleandertiller_model::{ServiceName, ServiceSpec};
 use oleandertiller_routing::{limit::LimitConfig, selection::SelectionConfig};
 
 pub use self::{
@@ -83,9 +83,6 @@
     pub fn read(text: &str) -> Result<Self, Vec<SettingsError>> {
         let mut reader = Reader::new(Source::read(text));
         let settings = Self::read_sections(&mut reader);
-        if let Some(settings) = &settings {
-            settings.check(&mut reader);
-        }
         let errors = reader.finish();
         match settings {
             Some(settings) if errors.is_empty() => Ok(settings),
@@ -106,6 +103,12 @@
         let log = LogSettings::read(reader);
         let operators = reader.operators();
         let services = reader.services();
+        if let Some(listen) = &listen {
+            check_listeners(listen, reader);
+        }
+        if let Some(node) = &node {
+            check_service(&node.service, &services, reader);
+        }
         Some(Self {
             node: node?,
             listen: listen?,
@@ -120,31 +123,33 @@
             services,
         })
     }
+}
 
-    /// Checks what spans several keys.
-    fn check(&self, reader: &mut Reader) {
-        let listen = &self.listen;
-        let mut taken = HashSet::new();
-        // Gossip is UDP and may share a port number with a TCP listener.
-        for (key, address) in
-            [("client", listen.client), ("inner", listen.inner), ("operator", listen.operator)]
-        {
-            if !taken.insert(address) {
-                reader.reject("listen", key, "an address that no other listener uses");
-            }
+/// Reports listeners that cannot be opened beside each other.
+fn check_listeners(listen: &ListenSettings, reader: &mut Reader) {
+    // Gossip is UDP and may share a port number with a TCP listener.
+    let listeners =
+        [("client", listen.client), ("inner", listen.inner), ("operator", listen.operator)];
+    for (index, (key, address)) in listeners.iter().enumerate() {
+        if listeners[..index].iter().any(|(_, other)| collide(*address, *other)) {
+            reader.reject("listen", key, "an address that no other listener uses");
         }
-        self.check_service(reader);
     }
+}
 
-    fn check_service(&self, reader: &mut Reader) {
-        let own = &self.node.service;
-        if self.services.is_empty() || self.services.iter().any(|service| service.name == *own) {
-            return;
-        }
-        let names = || self.services.iter().map(|service| service.name.as_str());
-        let allowed = format!("one of the services of this file: {}", join(names()));
-        reader.reject_with_suggestion("node", "service", &allowed, nearest(own.as_str(), names()));
+fn collide(one: SocketAddr, other: SocketAddr) -> bool {
+    let wildcard = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (wildcard || one.ip() == other.ip())
+}
+
+/// Reports a service of the node that is not among the services that the file declares.
+fn check_service(own: &ServiceName, services: &[ServiceSpec], reader: &mut Reader) {
+    if services.is_empty() || services.iter().any(|service| service.name == *own) {
+        return;
     }
+    let names = || services.iter().map(|service| service.name.as_str());
+    let allowed = format!("one of the services of this file: {}", join(names()));
+    reader.reject_with_suggestion("node", "service", &allowed, nearest(own.as_str(), names()));
 }
 
 impl SelectionSettings {
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -68,6 +68,8 @@
     }
 }
 
+impl std::error::Error for SettingsError {}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -90,16 +90,16 @@
     /// Sockets.
     "listen" => ListenSettings {
         "client", client: SocketAddr, None, Allowed::Address, "Calls from clients, HTTP/1.1.";
-        "inner", inner: SocketAddr, None, Allowed::AnnouncedAddress,
+        "inner", inner: SocketAddr, None, Allowed::ReachableAddress,
             "Calls from other nodes, TCP.";
-        "gossip", gossip: SocketAddr, None, Allowed::AnnouncedAddress,
+        "gossip", gossip: SocketAddr, None, Allowed::ReachableAddress,
             "Membership and dissemination, UDP.";
         "operator", operator: SocketAddr, None, Allowed::Address,
             "Operators, metrics and the upstream's announcements, HTTP/1.1.";
     }
     /// The platform's key-value store.
     "store" => StoreSettings {
-        "address", address: SocketAddr, None, Allowed::AnnouncedAddress,
+        "address", address: SocketAddr, None, Allowed::ReachableAddress,
             "Address of the key-value store.";
         "connect-timeout-ms", connect_timeout: Duration, Some("1000"), number(10, 60_000, "ms"),
             "Longest wait for a connection to the store.";
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -14,8 +14,8 @@
     Name,
     /// An IP address with a port.
     Address,
-    /// An IP address with a port, told to peers and so not a wildcard.
-    AnnouncedAddress,
+    /// An IP address with a port that is connected to, and so not a wildcard.
+    ReachableAddress,
     /// IP addresses with ports, separated by commas.
     Addresses,
     /// A whole number within a range; `unit` is empty for plain counts.
@@ -45,8 +45,8 @@
                 name::NAME_MAX_BYTES
             ),
             Self::Address => "an IP address with a port, such as 127.0.0.1:7400".to_owned(),
-            Self::AnnouncedAddress => {
-                "an IP address with a port, such as 127.0.0.1:7400, that peers can reach".to_owned()
+            Self::ReachableAddress => {
+                "an IP address with a port, such as 127.0.0.1:7400, and no wildcard".to_owned()
             }
             Self::Addresses => "IP addresses with ports, separated by commas".to_owned(),
             Self::Number { min, max, unit: "" } => format!("a whole number from {min} to {max}"),
@@ -98,7 +98,7 @@
 impl Setting for Vec<SocketAddr> {
     fn parse(text: &str, _: &Allowed) -> Option<Self> {
         let addresses = text.split(',').map(str::trim).filter(|text| !text.is_empty());
-        addresses.map(|text| SocketAddr::parse(text, &Allowed::AnnouncedAddress)).collect()
+        addresses.map(|text| SocketAddr::parse(text, &Allowed::ReachableAddress)).collect()
     }
 }
 
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -102,6 +102,11 @@
         "line 9: [listen] operator: found `127.0.0.1:2`; allowed: an address that no other \
          listener uses"
     );
+    let wildcard = MINIMAL.replace("operator = 127.0.0.1:3", "operator = 127.0.0.1:1");
+    assert!(errors(&wildcard).contains("[listen] operator"));
+    // Shown beside errors of other sections.
+    let both = errors(&text.replace("zone = z", "zone = Z"));
+    assert_eq!(both.lines().count(), 2, "{both}");
     let text = TUUL.replace("service = kettle\n", "service = ketle\n");
     assert_eq!(
         errors(&text),
