--- a/crates/language/src/complete.rs
+++ b/crates/language/src/complete.rs
@@ -8,26 +8,26 @@
 
 /// All statements, one a line, with what each does.
 pub const HELP: &str = "\
-show zones                             zones, and whether they are in service
+show zones                               zones, and whether they are in service
 show upstreams [of SERVICE] [where ...]  upstreams and their load
-show services                          services and their request kinds
-show nodes [where ...]                 nodes
-show rollouts                          rollouts and where they stand
-show budget                            measuring budget and what is spent
-show revision                          revision of the configuration in force
-history [of NAME] [last N]             what the system has done
-explain rollout SERVICE                why a rollout stands where it does
-explain refusal REASON                 what a refusal means and what to do
-explain upstream NODE                  why an upstream gets the load it gets
-operation ID                           what became of a command
-zone ZONE out                          takes a zone out of service
-zone ZONE in                           brings a zone back
-rollout SERVICE to VERSION by 18:00    starts a rollout, due by a time (UTC)
-rollout SERVICE to VERSION in 30m      starts a rollout, due after a time
-cancel rollout SERVICE                 rolls back
-budget measuring 1%                    sets the share of calls for measuring
-put service SERVICE kind KIND = ...    adds or replaces a service
-help                                   this list
+show services                            services and their request kinds
+show nodes [where ...]                   nodes
+show rollouts                            rollouts and where they stand
+show budget                              measuring budget and what is spent
+show revision                            revision of the configuration in force
+history [of NAME] [last N]               what the system has done
+explain rollout SERVICE                  why a rollout stands where it does
+explain refusal REASON                   what a refusal means and what to do
+explain upstream NODE                    why an upstream gets the load it gets
+operation ID                             what became of a command
+zone ZONE out                            takes a zone out of service
+zone ZONE in                             brings a zone back
+rollout SERVICE to VERSION by 18:00      starts a rollout, due by a time (UTC)
+rollout SERVICE to VERSION in 30m        starts a rollout, due after a time
+cancel rollout SERVICE                   rolls back
+budget measuring 1%                      sets the share of calls for measuring
+put service SERVICE kind KIND = ...      adds or replaces a service
+help                                     this list
 
 where: zone|state|version|node = VALUE, joined by `and`
 kind:  weight N, idempotent | at most once, internal, deadline 50ms, max-deadline 1s, objective 99.9%
--- a/crates/language/src/scenario/parse.rs
+++ b/crates/language/src/scenario/parse.rs
@@ -35,13 +35,11 @@
             errors.push(error.with_line(index + 1));
         }
     }
-    match draft.finish() {
-        Ok(scenario) if errors.is_empty() => Ok(scenario),
-        // A header that could not be read is reported once, at its line.
-        Ok(_) => Err(errors),
-        Err(_) if !errors.is_empty() => Err(errors),
-        Err(error) => Err(vec![error.with_line(script.lines().count().max(1))]),
+    if !errors.is_empty() {
+        // A header line at fault would also count as missing.
+        return Err(errors);
     }
+    draft.finish().map_err(|error| vec![error.with_line(script.lines().count().max(1))])
 }
 
 #[derive(Default)]
