--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -18,7 +18,8 @@
 pub const FAILURE: u8 = 1;
 
 /// A load balancer for small service fleets whose load shifts within milliseconds.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 struct Args {
     /// print the version
     #[argh(switch)]
@@ -28,7 +29,8 @@
     command: Option<Command>,
 }
 
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
     Node(node::Node),
--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -25,7 +25,8 @@
 
 /// Ask a node, or give it a command. Without a line, start a dialogue.
 // `help` is a statement of the language and no request for the usage.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "ask", help_triggers("-h", "--help"))]
 pub struct Ask {
     /// statement such as "show zones"; see "help"
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -8,7 +8,8 @@
 use crate::settings::{LoadError, Settings};
 
 /// Check a settings file and report all errors in it.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
     /// settings file
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -7,7 +7,8 @@
 use super::failure;
 
 /// Run both example deployments on loopback with stand-ins (not built yet).
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
 pub struct Demo {
     /// how long to run
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -25,7 +25,8 @@
 const THREAD_NAME: &str = "oleander-worker";
 
 /// Run a node until it is asked to stop by SIGTERM or SIGINT.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "node")]
 pub struct Node {
     /// settings file
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -10,7 +10,8 @@
 use super::{bad_usage, client::Call, failure};
 
 /// Print how service-level objectives are met.
-#[derive(FromArgs, Debug)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "report")]
 pub struct Report {
     /// address of a node's operator port; may be given several times
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -13,7 +13,8 @@
 const LATENCY_BUCKETS: [f64; 14] =
     [0.0002, 0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 4.0];
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct CallLabels {
     service: Arc<str>,
     kind: Arc<str>,
@@ -21,7 +22,8 @@
     reason: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 struct KindLabels {
     service: Arc<str>,
     kind: Arc<str>,
--- a/src/node/owner/state.rs
+++ b/src/node/owner/state.rs
@@ -13,7 +13,8 @@
 use serde::Deserialize;
 
 /// What an upstream says about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Announcement {
     /// Service of the upstream.
