--- /dev/null
+++ b/crates/fleet/src/agent.rs
@@ -0,0 +1,349 @@
+//! One node's membership, intent and freshness on one gossip socket.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::{
+    Change, Intent, NodeName, Revision,
+    codec::{self, PROTOCOL_VERSION},
+    message::{IntentPull, IntentPush},
+};
+
+use crate::{
+    datagram::{Body, DATAGRAM_MAX_BYTES, Datagram, MembersPull, MembersPush, Rumour},
+    freshness::{Exchange, Freshness},
+    intent::{Replica, WatcherEvent},
+    membership::{Action, Membership, MembershipConfig, PUSH_FANOUT, ViewChange},
+};
+
+/// Interval at which the driver calls [`Agent::tick`].
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Shortest time between two pulls of intent, so that a burst of news makes one pull.
+const PULL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a pull that was not answered may be made again.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval of additional pings while the node is stale.
+const STALE_PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Members pinged at once while the node is stale.
+const STALE_PINGS: usize = 3;
+
+/// Room kept for the lengths of the lists on a datagram.
+const LENGTH_BYTES: usize = 6;
+
+/// Settings of an [`Agent`].
+pub type AgentConfig = MembershipConfig;
+
+/// What an [`Agent`] asks of its driver.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send this datagram.
+    Send {
+        /// Gossip address of the receiver.
+        to: SocketAddr,
+        /// Encoded datagram.
+        bytes: Vec<u8>,
+    },
+    /// Pull intent from a peer's inner port, and pass the answer to [`Agent::intent_pulled`].
+    PullIntent {
+        /// Name of the peer.
+        peer: NodeName,
+        /// Inner address of the peer.
+        address: SocketAddr,
+        /// Question.
+        pull: IntentPull,
+    },
+    /// Pull member records from a peer's inner port, and pass the answer to
+    /// [`Agent::members_pulled`].
+    PullMembers {
+        /// Inner address of the peer.
+        address: SocketAddr,
+        /// Question.
+        pull: MembersPull,
+    },
+    /// The view of the fleet has changed.
+    View(ViewChange),
+    /// A newer intent is in force.
+    Intent(Arc<Intent>),
+}
+
+/// A pull of intent that is under way.
+#[derive(Clone, Debug)]
+struct Pull {
+    peer: NodeName,
+    asked: Instant,
+    done: bool,
+}
+
+/// One node's part of the fleet.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    membership: Membership,
+    replica: Replica,
+    freshness: Freshness,
+    announced: Revision,
+    pull: Option<Pull>,
+    /// Peers with a newer revision, newest last.
+    ahead: VecDeque<(NodeName, Revision)>,
+    stale_ping_at: Instant,
+    outputs: Vec<Output>,
+}
+
+impl Agent {
+    /// Creates the part of a newly started node. It is stale until it has the intent.
+    pub fn new(config: AgentConfig, now: Instant) -> Self {
+        Self {
+            membership: Membership::new(config, now),
+            replica: Replica::new(),
+            freshness: Freshness::new(now),
+            announced: Revision(0),
+            pull: None,
+            ahead: VecDeque::new(),
+            stale_ping_at: now,
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Returns the membership.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the membership for changes of the local record, seeds and leaving. Call
+    /// [`Self::take_outputs`] afterwards.
+    pub fn membership_mut(&mut self) -> &mut Membership {
+        &mut self.membership
+    }
+
+    /// Returns the intent in force with its tail.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns the freshness.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
+    /// Returns the freshness for [`Freshness::check`].
+    pub fn freshness_mut(&mut self) -> &mut Freshness {
+        &mut self.freshness
+    }
+
+    /// Does what is due at `now`; call it every [`TICK`].
+    pub fn tick(&mut self, now: Instant) -> Vec<Output> {
+        let peers = self.membership.peers_known();
+        self.freshness.tick(now, peers, self.replica.revision());
+        self.membership.tick(now);
+        if self.freshness.stale().is_some() && now >= self.stale_ping_at {
+            self.stale_ping_at = now + STALE_PING_INTERVAL;
+            self.membership.ping_random(STALE_PINGS, now);
+        }
+        self.pull_if_behind(now);
+        self.take_outputs(now)
+    }
+
+    /// Takes in a received datagram; malformed ones are ignored.
+    pub fn receive(&mut self, source: SocketAddr, bytes: &[u8], now: Instant) -> Vec<Output> {
+        // A pause must be noticed before its stale datagrams are taken in.
+        let _ = self.freshness.check(now);
+        let Ok(mut datagram) = Datagram::decode(bytes) else { return Vec::new() };
+        if datagram.from == self.membership.local().node {
+            return Vec::new();
+        }
+        let before = self.replica.revision();
+        self.replica.absorb_changes(&datagram.changes);
+        self.note_revision(&datagram.from, datagram.revision);
+        self.spread_changes(before);
+        let rumours = std::mem::take(&mut datagram.rumours);
+        let introduction = rumours
+            .iter()
+            .any(|r| matches!(r, Rumour::Record(record) if record.node == datagram.from));
+        if introduction {
+            datagram.rumours = rumours.clone();
+        }
+        self.membership.rumours(rumours, now);
+        if let Some(answered) = self.membership.receive(&datagram, source, now) {
+            let exchange = Exchange {
+                asked: answered.asked,
+                peer: datagram.from.clone(),
+                peer_fresh: datagram.fresh,
+                peer_revision: datagram.revision,
+                confirmed: datagram.confirmed,
+            };
+            self.freshness.heard_peer(&exchange, now);
+            self.settle(now);
+        }
+        self.pull_if_behind(now);
+        self.take_outputs(now)
+    }
+
+    /// Answers a pull of intent by a peer.
+    pub fn serve_intent(&self, pull: IntentPull) -> IntentPush {
+        self.replica.serve(pull)
+    }
+
+    /// Answers a pull of member records by a peer.
+    pub fn serve_members(&self, pull: &MembersPull) -> MembersPush {
+        self.membership.serve_pull(pull)
+    }
+
+    /// Takes in the answer to the last [`Output::PullIntent`], or `None` when it failed.
+    pub fn intent_pulled(&mut self, push: Option<IntentPush>, now: Instant) -> Vec<Output> {
+        if let Some(pull) = &mut self.pull {
+            pull.done = true;
+        }
+        let before = self.replica.revision();
+        match push {
+            Some(push) => {
+                self.replica.absorb_push(push);
+            }
+            None => {
+                let peer = self.pull.as_ref().map(|pull| pull.peer.clone());
+                self.ahead.retain(|(node, _)| Some(node) != peer.as_ref());
+            }
+        }
+        self.spread_changes(before);
+        self.settle(now);
+        self.take_outputs(now)
+    }
+
+    /// Takes in the answer to the last [`Output::PullMembers`], or `None` when it failed.
+    pub fn members_pulled(&mut self, push: Option<MembersPush>, now: Instant) -> Vec<Output> {
+        self.membership.pulled(push, now);
+        self.take_outputs(now)
+    }
+
+    /// Takes over what a command or a watcher learnt, and spreads it.
+    pub fn learned(&mut self, learned: &Replica, now: Instant) -> Vec<Output> {
+        let before = self.replica.revision();
+        if learned.revision() > before {
+            self.replica = learned.clone();
+        }
+        self.spread_changes(before);
+        self.settle(now);
+        self.take_outputs(now)
+    }
+
+    /// Takes in a watcher's event after [`Self::learned`].
+    pub fn watcher_event(&mut self, event: WatcherEvent, now: Instant) -> Vec<Output> {
+        if let WatcherEvent::Confirmed { revision, asked } = event {
+            self.freshness.heard_store(revision, asked, now);
+            self.settle(now);
+        }
+        self.take_outputs(now)
+    }
+
+    /// Returns the outputs that are due, after a change through [`Self::membership_mut`].
+    pub fn take_outputs(&mut self, now: Instant) -> Vec<Output> {
+        if self.replica.revision() > self.announced {
+            self.announced = self.replica.revision();
+            self.outputs.push(Output::Intent(self.replica.intent().clone()));
+        }
+        for action in self.membership.take_actions() {
+            let output = match action {
+                Action::Send { to, node, body, introduce } => {
+                    let bytes = self.compose(node.as_ref(), body, introduce, now);
+                    Output::Send { to, bytes }
+                }
+                Action::Pull { address, pull } => Output::PullMembers { address, pull },
+                Action::View(change) => Output::View(change),
+            };
+            self.outputs.push(output);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn settle(&mut self, now: Instant) {
+        let peers = self.membership.peers_known();
+        self.freshness.settle(now, peers, self.replica.revision());
+    }
+
+    /// Pushes new changes to a few members at once; each node that learns them does the same, so
+    /// they reach most of a fleet within a few network round trips.
+    fn spread_changes(&mut self, before: Revision) {
+        if self.replica.revision() > before {
+            self.membership.push(PUSH_FANOUT);
+        }
+    }
+
+    fn note_revision(&mut self, peer: &NodeName, revision: Revision) {
+        if revision <= self.replica.revision() {
+            return;
+        }
+        self.ahead.retain(|(node, _)| node != peer);
+        self.ahead.push_back((peer.clone(), revision));
+        if self.ahead.len() > PUSH_FANOUT {
+            self.ahead.pop_front();
+        }
+    }
+
+    fn pull_if_behind(&mut self, now: Instant) {
+        let own = self.replica.revision();
+        self.ahead.retain(|(_, revision)| *revision > own);
+        let busy = self.pull.as_ref().is_some_and(|pull| {
+            let wait = if pull.done { PULL_INTERVAL } else { PULL_TIMEOUT };
+            now.saturating_duration_since(pull.asked) < wait
+        });
+        if busy {
+            return;
+        }
+        let Some((peer, _)) = self.ahead.pop_back() else { return };
+        let Some(entry) = self.membership.table().get(&peer) else { return };
+        let address = entry.record.addresses.inner;
+        self.pull = Some(Pull { peer: peer.clone(), asked: now, done: false });
+        self.outputs.push(Output::PullIntent { peer, address, pull: IntentPull { have: own } });
+    }
+
+    /// Lays out a datagram: what was asked, then changes of the intent, then rumours, as many as
+    /// fit.
+    fn compose(
+        &mut self,
+        node: Option<&NodeName>,
+        body: Body,
+        introduce: bool,
+        now: Instant,
+    ) -> Vec<u8> {
+        let pushes = matches!(body, Body::Push);
+        let mut datagram = Datagram {
+            protocol: PROTOCOL_VERSION,
+            from: self.membership.local().node.clone(),
+            revision: self.replica.revision(),
+            confirmed: self.freshness.confirmed(now),
+            fresh: self.freshness.stale().is_none(),
+            body,
+            changes: Vec::new(),
+            rumours: Vec::new(),
+        };
+        let used = codec::encode(&datagram).len() + LENGTH_BYTES;
+        let mut room = DATAGRAM_MAX_BYTES.saturating_sub(used);
+        if pushes {
+            datagram.changes = self.latest_changes(&mut room);
+        }
+        datagram.rumours = self.membership.rumours_for(node, introduce, room);
+        codec::encode(&datagram)
+    }
+
+    /// Returns the latest changes that fit, oldest first.
+    fn latest_changes(&self, room: &mut usize) -> Vec<Change> {
+        let mut changes = Vec::new();
+        // Most receivers lack only the newest one; older ones cost little and bridge gaps.
+        for change in self.replica.tail().rev().take(2) {
+            let bytes = codec::encode(change).len();
+            if bytes > *room / 2 {
+                break;
+            }
+            *room -= bytes;
+            changes.push(change.clone());
+        }
+        changes.reverse();
+        changes
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/intent.rs
@@ -0,0 +1,23 @@
+//! Agreement on the intent.
+//!
+//! The store key `intent/head` holds the present revision, the last [`TAIL`] changes and the
+//! revision of the last base document. `intent/base/<revision>` holds whole documents. All
+//! changes go through compare-and-swap on the head.
+//!
+//! A base document is written only for a revision that is already in the head, before the head
+//! that refers to it: the writer that finds [`TAIL`] changes since the last base writes
+//! `intent/base/<present revision>` with expected version 0 and then the new head with its own
+//! change. An accepted revision has one document, so it does not matter which writer's base is
+//! kept, whether a writer crashes between the two writes, or whether a delayed base write arrives
+//! late: the head goes on referring to the older base, from which its tail still leads to the
+//! present revision, until some writer completes both steps.
+
+mod command;
+mod head;
+mod replica;
+mod watcher;
+
+pub use command::{Command, CommandOutcome, NotAccepted};
+pub use head::{HEAD_KEY, Head, HeadError, TAIL, base_key, parse_base};
+pub use replica::{Absorbed, Replica};
+pub use watcher::{Watcher, WatcherEvent};
--- /dev/null
+++ b/crates/fleet/src/intent/command.rs
@@ -0,0 +1,376 @@
+//! The writer's side: carries one command to the store and says truthfully what became of it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use oleandertiller_model::{Action, Change, Intent, Revision, intent::ChangeError};
+use rand::Rng;
+use uuid::Uuid;
+
+use super::{
+    head::{HEAD_KEY, Head, base_key, parse_base},
+    replica::{Absorbed, Replica},
+};
+use crate::store::{Backoff, Step, StoreAnswer, StoreCall};
+
+/// First cap of the wait after a failed store call.
+const RETRY_BASE: Duration = Duration::from_millis(50);
+
+/// Largest cap of the wait after a failed store call.
+const RETRY_CAP: Duration = Duration::from_secs(1);
+
+/// Why a command was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NotAccepted {
+    /// The action does not apply to the present document.
+    Refused(Refusal),
+    /// Other commands were faster until the deadline.
+    Contention,
+    /// The store could not be reached and nothing was written.
+    StoreUnavailable,
+    /// The store holds a head or base that cannot be read.
+    StoreCorrupt,
+}
+
+/// Why the present document refuses an action: a [`ChangeError`] without the revision check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The zone, service, rollout or keeper does not exist.
+    NotFound,
+    /// A rollout of the service is still under way.
+    RolloutUnderWay,
+    /// The rollout has ended.
+    RolloutEnded,
+    /// The fencing token is not the present one.
+    StaleFence,
+    /// The keeper has another incarnation.
+    OtherIncarnation,
+    /// A value is out of its range.
+    OutOfRange,
+    /// Any other reason.
+    Other,
+}
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CommandOutcome {
+    /// It is in the document and made this revision.
+    Accepted(Revision),
+    /// It is not in the document and never will be.
+    NotAccepted(NotAccepted),
+    /// It could not be settled in time; the operation id can be queried later.
+    Unknown(Uuid),
+}
+
+impl From<ChangeError> for Refusal {
+    fn from(err: ChangeError) -> Self {
+        match err {
+            ChangeError::NotFound => Self::NotFound,
+            ChangeError::RolloutUnderWay => Self::RolloutUnderWay,
+            ChangeError::RolloutEnded => Self::RolloutEnded,
+            ChangeError::StaleFence => Self::StaleFence,
+            ChangeError::OtherIncarnation => Self::OtherIncarnation,
+            ChangeError::OutOfRange => Self::OutOfRange,
+            ChangeError::WrongRevision => Self::Other,
+        }
+    }
+}
+
+/// A write whose answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// Version of the head that the write expected.
+    version: u64,
+    /// Revision that the write makes if it takes effect.
+    revision: Revision,
+}
+
+/// What the command does next or waits for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    ReadHead,
+    ReadBase { head: Head, version: u64 },
+    WriteBase { head: Head, version: u64 },
+    WriteHead { head: Head, version: u64 },
+    Ended,
+}
+
+/// One command under way.
+///
+/// At most one write of the head is in doubt at any time. It is settled before anything else is
+/// concluded: either the same operation is written again at the same expected version, or a read
+/// shows a higher version. Then the write can no longer take effect, and the change that made its
+/// revision shows whether it did.
+#[derive(Clone, Debug)]
+pub struct Command {
+    operation: Uuid,
+    author: Arc<str>,
+    at: SystemTime,
+    action: Action,
+    deadline: Instant,
+    replica: Replica,
+    stage: Stage,
+    doubt: Option<Doubt>,
+    contended: bool,
+    backoff: Backoff,
+}
+
+impl Command {
+    /// Creates a command on the intent known so far; it ends at `deadline` or one store call
+    /// after it.
+    ///
+    /// The same `operation` may be given again, also at another node, to learn what became of it,
+    /// as long as fewer than 1,024 changes lie between.
+    pub fn new(
+        operation: Uuid,
+        author: impl Into<Arc<str>>,
+        at: SystemTime,
+        action: Action,
+        replica: &Replica,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            operation,
+            author: author.into(),
+            at,
+            action,
+            deadline,
+            replica: replica.clone(),
+            stage: Stage::ReadHead,
+            doubt: None,
+            contended: false,
+            backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
+        }
+    }
+
+    /// Returns the operation id.
+    pub fn operation(&self) -> Uuid {
+        self.operation
+    }
+
+    /// Returns the intent as this command last saw it; after acceptance it includes the change,
+    /// so the node takes it over and spreads it at once.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns the first store call.
+    pub fn start(&mut self) -> Step<CommandOutcome> {
+        self.stage = Stage::ReadHead;
+        self.call()
+    }
+
+    /// Goes on after a [`Step::Wait`].
+    pub fn wake(&mut self, now: Instant) -> Step<CommandOutcome> {
+        if now >= self.deadline { self.give_up() } else { self.call() }
+    }
+
+    /// Takes the answer to the last call.
+    pub fn answer(
+        &mut self,
+        answer: StoreAnswer,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Step<CommandOutcome> {
+        if matches!(answer, StoreAnswer::NotSent | StoreAnswer::Lost) {
+            return self.failed(&answer, now, rng);
+        }
+        match std::mem::replace(&mut self.stage, Stage::Ended) {
+            Stage::ReadHead => self.head_read(answer, now),
+            Stage::ReadBase { head, version } => self.base_read(answer, head, version, now),
+            Stage::WriteBase { head, version } => self.write_head(&head, version),
+            Stage::WriteHead { head, version } => {
+                self.head_written(&answer, head, version, now, rng)
+            }
+            Stage::Ended => self.give_up(),
+        }
+    }
+
+    /// Returns the call of the present stage.
+    fn call(&self) -> Step<CommandOutcome> {
+        let call = match &self.stage {
+            Stage::ReadHead | Stage::Ended => StoreCall::Get { key: HEAD_KEY.into() },
+            Stage::ReadBase { head, .. } => StoreCall::Get { key: base_key(head.base) },
+            Stage::WriteBase { head, .. } => StoreCall::Put {
+                key: base_key(head.revision),
+                value: self.document(),
+                if_version: 0,
+                lease: None,
+            },
+            Stage::WriteHead { head, version } => StoreCall::Put {
+                key: HEAD_KEY.into(),
+                value: head.to_json(),
+                if_version: *version,
+                lease: None,
+            },
+        };
+        Step::Call(call)
+    }
+
+    fn document(&self) -> String {
+        let intent: &Intent = self.replica.intent();
+        serde_json::to_string(intent).expect("an intent can be written as JSON")
+    }
+
+    fn failed(
+        &mut self,
+        answer: &StoreAnswer,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Step<CommandOutcome> {
+        if let (Stage::WriteHead { head, version }, StoreAnswer::Lost) = (&self.stage, answer) {
+            self.doubt = Some(Doubt { version: *version, revision: head.revision });
+        }
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        let wait = self.backoff.next_wait(rng);
+        Step::Wait((now + wait).min(self.deadline))
+    }
+
+    fn head_read(&mut self, answer: StoreAnswer, now: Instant) -> Step<CommandOutcome> {
+        let (head, version) = match answer {
+            StoreAnswer::Found { version, value } => match Head::parse(&value) {
+                Ok(head) => (head, version),
+                Err(_) => return self.corrupt(),
+            },
+            StoreAnswer::Absent => (Head::default(), 0),
+            _ => return self.corrupt(),
+        };
+        // A head behind the intent in force means that the store lost data. Writing on would make
+        // a second history with the same revisions.
+        if head.revision < self.replica.revision() {
+            return self.corrupt();
+        }
+        self.backoff.reset();
+        match self.replica.absorb_head(&head) {
+            Absorbed::Gap => {
+                self.stage = Stage::ReadBase { head, version };
+                self.call()
+            }
+            Absorbed::Contradiction => self.corrupt(),
+            _ => self.settle(head, version, now),
+        }
+    }
+
+    fn base_read(
+        &mut self,
+        answer: StoreAnswer,
+        head: Head,
+        version: u64,
+        now: Instant,
+    ) -> Step<CommandOutcome> {
+        let StoreAnswer::Found { value, .. } = answer else { return self.corrupt() };
+        let Ok(doc) = parse_base(&value, head.base) else { return self.corrupt() };
+        self.replica.absorb_document(doc);
+        match self.replica.absorb_head(&head) {
+            Absorbed::Gap | Absorbed::Contradiction => self.corrupt(),
+            _ => self.settle(head, version, now),
+        }
+    }
+
+    /// Decides with the replica at the head's revision.
+    fn settle(&mut self, head: Head, version: u64, now: Instant) -> Step<CommandOutcome> {
+        if let Some(revision) = self.replica.intent().revision_of(self.operation) {
+            return self.end(CommandOutcome::Accepted(revision));
+        }
+        if let Some(doubt) = self.doubt.filter(|doubt| version > doubt.version) {
+            if !self.remembers(doubt.revision) {
+                return self.end(CommandOutcome::Unknown(self.operation));
+            }
+            self.doubt = None;
+        }
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        self.evaluate(head, version)
+    }
+
+    /// Returns whether the document still tells which operation made `revision`.
+    fn remembers(&self, revision: Revision) -> bool {
+        let oldest = self.replica.intent().recent.front();
+        oldest.is_some_and(|(_, oldest)| *oldest <= revision)
+    }
+
+    fn evaluate(&mut self, head: Head, version: u64) -> Step<CommandOutcome> {
+        let mut trial = Intent::clone(self.replica.intent());
+        match trial.apply(&self.change(&head)) {
+            Ok(()) if head.base_is_due() => {
+                self.stage = Stage::WriteBase { head, version };
+                self.call()
+            }
+            Ok(()) => self.write_head(&head, version),
+            // With a write in doubt at this version the same evaluation has succeeded before, so
+            // a refusal always means that nothing was or will be written.
+            Err(err) => {
+                let refused = NotAccepted::Refused(err.into());
+                self.end(CommandOutcome::NotAccepted(refused))
+            }
+        }
+    }
+
+    fn change(&self, head: &Head) -> Change {
+        Change {
+            revision: head.revision.next(),
+            operation: self.operation,
+            author: self.author.clone(),
+            at: self.at,
+            action: self.action.clone(),
+        }
+    }
+
+    fn write_head(&mut self, head: &Head, version: u64) -> Step<CommandOutcome> {
+        let base = if head.base_is_due() { head.revision } else { head.base };
+        let head = head.with_change(self.change(head), base);
+        self.stage = Stage::WriteHead { head, version };
+        self.call()
+    }
+
+    fn head_written(
+        &mut self,
+        answer: &StoreAnswer,
+        head: Head,
+        version: u64,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Step<CommandOutcome> {
+        if matches!(answer, StoreAnswer::Written { .. }) {
+            self.replica.absorb_head(&head);
+            return self.end(CommandOutcome::Accepted(head.revision));
+        }
+        if *answer != StoreAnswer::Conflict {
+            // An answer that a write cannot have says nothing about the write.
+            self.doubt = Some(Doubt { version, revision: head.revision });
+        }
+        self.contended = true;
+        self.stage = Stage::ReadHead;
+        if now >= self.deadline {
+            return self.give_up();
+        }
+        let wait = self.backoff.next_wait(rng);
+        Step::Wait((now + wait).min(self.deadline))
+    }
+
+    fn corrupt(&mut self) -> Step<CommandOutcome> {
+        match self.doubt {
+            Some(_) => self.end(CommandOutcome::Unknown(self.operation)),
+            None => self.end(CommandOutcome::NotAccepted(NotAccepted::StoreCorrupt)),
+        }
+    }
+
+    fn give_up(&mut self) -> Step<CommandOutcome> {
+        let reason =
+            if self.contended { NotAccepted::Contention } else { NotAccepted::StoreUnavailable };
+        match self.doubt {
+            Some(_) => self.end(CommandOutcome::Unknown(self.operation)),
+            None => self.end(CommandOutcome::NotAccepted(reason)),
+        }
+    }
+
+    fn end(&mut self, outcome: CommandOutcome) -> Step<CommandOutcome> {
+        self.stage = Stage::Ended;
+        Step::Done(outcome)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/intent/head.rs
@@ -0,0 +1,106 @@
+//! The value of the store key `intent/head`.
+
+use std::sync::Arc;
+
+use oleandertiller_model::{Change, Intent, Revision};
+use serde::{Deserialize, Serialize};
+
+/// Key of the head.
+pub const HEAD_KEY: &str = "intent/head";
+
+/// Changes that the head keeps, and the distance between base documents.
+pub const TAIL: usize = 64;
+
+/// Returns the key of a base document.
+pub fn base_key(revision: Revision) -> String {
+    format!("intent/base/{}", revision.0)
+}
+
+/// Parses a base document and checks that it is the one asked for.
+///
+/// # Errors
+///
+/// Returns [`HeadError`] when `value` is not the document of `revision`.
+pub fn parse_base(value: &str, revision: Revision) -> Result<Arc<Intent>, HeadError> {
+    let doc: Intent = serde_json::from_str(value).map_err(|_| HeadError::Malformed)?;
+    if doc.revision == revision { Ok(Arc::new(doc)) } else { Err(HeadError::Inconsistent) }
+}
+
+/// Why a value of the store cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadError {
+    /// The value is not JSON of the expected form.
+    Malformed,
+    /// The revisions within the value contradict each other.
+    Inconsistent,
+}
+
+/// The head: what was accepted last and where to find the rest.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Head {
+    /// Present revision.
+    pub revision: Revision,
+    /// Revision of the last base document; 0 stands for the empty document.
+    pub base: Revision,
+    /// Last changes, oldest first, ending with the present revision.
+    pub changes: Vec<Change>,
+}
+
+impl Head {
+    /// Parses the value of [`HEAD_KEY`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HeadError`] when the value is no head, or its changes are not consecutive or do
+    /// not reach from the base to the present revision.
+    pub fn parse(value: &str) -> Result<Self, HeadError> {
+        let head: Self = serde_json::from_str(value).map_err(|_| HeadError::Malformed)?;
+        head.check()?;
+        Ok(head)
+    }
+
+    /// Returns the head as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a change cannot be written as JSON, which is a fault of the program.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("a head can be written as JSON")
+    }
+
+    /// Returns the head after one more change.
+    pub fn with_change(&self, change: Change, base: Revision) -> Self {
+        let mut changes = self.changes.clone();
+        let revision = change.revision;
+        changes.push(change);
+        let excess = changes.len().saturating_sub(TAIL);
+        changes.drain(..excess);
+        Self { revision, base, changes }
+    }
+
+    /// Returns the changes after `revision`, or `None` when the tail does not reach back to it.
+    pub fn changes_after(&self, revision: Revision) -> Option<&[Change]> {
+        let missing = self.revision.0.checked_sub(revision.0)? as usize;
+        let start = self.changes.len().checked_sub(missing)?;
+        Some(&self.changes[start..])
+    }
+
+    /// Returns whether the next writer must write a base document first.
+    pub fn base_is_due(&self) -> bool {
+        self.revision.0 - self.base.0 >= TAIL as u64
+    }
+
+    fn check(&self) -> Result<(), HeadError> {
+        let first = (self.revision.0 + 1).checked_sub(self.changes.len() as u64);
+        let first = first.ok_or(HeadError::Inconsistent)?;
+        let consecutive =
+            self.changes.iter().zip(first..).all(|(change, rev)| change.revision.0 == rev);
+        let reaches_base = self.base <= self.revision && first <= self.base.0 + 1;
+        if consecutive && reaches_base && self.changes.len() <= TAIL {
+            Ok(())
+        } else {
+            Err(HeadError::Inconsistent)
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/intent/replica.rs
@@ -0,0 +1,134 @@
+//! The intent in force at one node, with the changes that lead to it.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use oleandertiller_model::{
+    Change, Intent, Revision,
+    message::{IntentPull, IntentPush},
+};
+
+use super::head::{Head, TAIL};
+
+/// What became of changes or a document offered to a [`Replica`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absorbed {
+    /// The revision in force has grown.
+    Advanced,
+    /// Nothing new.
+    Nothing,
+    /// Changes between the one in force and the offered ones are missing.
+    Gap,
+    /// A change of the next revision does not follow on the document in force.
+    Contradiction,
+}
+
+/// Holds the intent in force. Its revision never goes back.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replica {
+    intent: Arc<Intent>,
+    tail: VecDeque<Change>,
+}
+
+impl Replica {
+    /// Creates a replica of the empty document.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the document in force.
+    pub fn intent(&self) -> &Arc<Intent> {
+        &self.intent
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.intent.revision
+    }
+
+    /// Returns the recent changes, oldest first, ending with the revision in force.
+    pub fn tail(&self) -> impl DoubleEndedIterator<Item = &Change> {
+        self.tail.iter()
+    }
+
+    /// Returns the change that made `revision`, if it is in the tail.
+    pub fn change(&self, revision: Revision) -> Option<&Change> {
+        let first = self.tail.front()?.revision.0;
+        self.tail.get(revision.0.checked_sub(first)? as usize)
+    }
+
+    /// Applies the change if it is the next one.
+    pub fn absorb_change(&mut self, change: &Change) -> Absorbed {
+        if change.revision <= self.revision() {
+            return Absorbed::Nothing;
+        }
+        if change.revision != self.revision().next() {
+            return Absorbed::Gap;
+        }
+        if Arc::make_mut(&mut self.intent).apply(change).is_err() {
+            return Absorbed::Contradiction;
+        }
+        self.tail.push_back(change.clone());
+        if self.tail.len() > TAIL {
+            self.tail.pop_front();
+        }
+        Absorbed::Advanced
+    }
+
+    /// Applies those of the consecutive `changes` that are new.
+    pub fn absorb_changes<'a>(
+        &mut self,
+        changes: impl IntoIterator<Item = &'a Change>,
+    ) -> Absorbed {
+        let mut result = Absorbed::Nothing;
+        for change in changes {
+            match self.absorb_change(change) {
+                Absorbed::Nothing => {}
+                Absorbed::Advanced => result = Absorbed::Advanced,
+                stop => return stop,
+            }
+        }
+        result
+    }
+
+    /// Takes over a whole document if it is newer.
+    pub fn absorb_document(&mut self, doc: Arc<Intent>) -> Absorbed {
+        if doc.revision <= self.revision() {
+            return Absorbed::Nothing;
+        }
+        self.intent = doc;
+        self.tail.clear();
+        Absorbed::Advanced
+    }
+
+    /// Takes over a head of the store; [`Absorbed::Gap`] means that its base document is needed.
+    pub fn absorb_head(&mut self, head: &Head) -> Absorbed {
+        if head.revision <= self.revision() {
+            return Absorbed::Nothing;
+        }
+        match head.changes_after(self.revision()) {
+            Some(changes) => self.absorb_changes(changes),
+            None => Absorbed::Gap,
+        }
+    }
+
+    /// Takes over the answer of a peer.
+    pub fn absorb_push(&mut self, push: IntentPush) -> Absorbed {
+        match push {
+            IntentPush::Current => Absorbed::Nothing,
+            IntentPush::Changes(changes) => self.absorb_changes(&changes),
+            IntentPush::Document(doc) => self.absorb_document(Arc::new(*doc)),
+        }
+    }
+
+    /// Answers a peer's pull.
+    pub fn serve(&self, pull: IntentPull) -> IntentPush {
+        if pull.have >= self.revision() {
+            return IntentPush::Current;
+        }
+        let missing = (self.revision().0 - pull.have.0) as usize;
+        match self.tail.len().checked_sub(missing) {
+            Some(skip) => IntentPush::Changes(self.tail.iter().skip(skip).cloned().collect()),
+            None => IntentPush::Document(Box::new(Intent::clone(&self.intent))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/intent/watcher.rs
@@ -0,0 +1,172 @@
+//! The reader's side: follows the head in the store.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_model::Revision;
+use rand::Rng;
+
+use super::{
+    head::{HEAD_KEY, Head, base_key, parse_base},
+    replica::{Absorbed, Replica},
+};
+use crate::store::{Backoff, CallBucket, Step, StoreAnswer, StoreCall};
+
+/// Longest wait of one watch at the store. It is below the isolation limit of 3 s, so that a
+/// watcher that reaches only the store still serves; 34 watchers make 17 calls/s of it.
+pub const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// First cap of the wait after a failed read.
+const RETRY_BASE: Duration = Duration::from_millis(200);
+
+/// Largest cap of the wait after a failed read.
+const RETRY_CAP: Duration = Duration::from_secs(5);
+
+/// Sustained store calls per second of one reader.
+const CALLS_PER_SECOND: f64 = 2.0;
+
+/// Store calls that a reader may make at once; changes come in bursts.
+const CALL_BURST: f64 = 8.0;
+
+/// What a reader has learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatcherEvent {
+    /// The store was read: its head was at `revision` after `asked`. The replica is up to date
+    /// with it.
+    Confirmed {
+        /// Revision of the head.
+        revision: Revision,
+        /// When the read was asked for.
+        asked: Instant,
+    },
+    /// The store holds a head or a base that cannot be used.
+    Corrupt,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    Read,
+    Watch,
+    Base(Head),
+}
+
+/// Follows `intent/head`: reads it once, then watches it.
+#[derive(Clone, Debug)]
+pub struct Watcher {
+    once: bool,
+    version: u64,
+    revision: Revision,
+    stage: Stage,
+    asked: Instant,
+    head_asked: Instant,
+    backoff: Backoff,
+    bucket: CallBucket,
+}
+
+impl Watcher {
+    /// Creates a reader that follows the head until it is dropped.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            once: false,
+            version: 0,
+            revision: Revision(0),
+            stage: Stage::Read,
+            asked: now,
+            head_asked: now,
+            backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
+            bucket: CallBucket::new(CALLS_PER_SECOND, CALL_BURST, now),
+        }
+    }
+
+    /// Creates a reader that is done after the first confirmation: for a node that starts or is
+    /// stale and holds no watcher entry.
+    pub fn once(now: Instant) -> Self {
+        Self { once: true, ..Self::new(now) }
+    }
+
+    /// Starts, or goes on after a [`Step::Wait`].
+    pub fn wake(&mut self, now: Instant) -> Step<()> {
+        if let Err(at) = self.bucket.take(now) {
+            return Step::Wait(at);
+        }
+        self.asked = now;
+        if !matches!(self.stage, Stage::Base(_)) {
+            self.head_asked = now;
+        }
+        Step::Call(match &self.stage {
+            Stage::Read => StoreCall::Get { key: HEAD_KEY.into() },
+            Stage::Base(head) => StoreCall::Get { key: base_key(head.base) },
+            Stage::Watch => StoreCall::Watch {
+                key: HEAD_KEY.into(),
+                after: self.version,
+                timeout: WATCH_TIMEOUT,
+            },
+        })
+    }
+
+    /// Takes the answer to the last call, brings `replica` up to date, and returns what was learnt
+    /// with the next step.
+    pub fn answer(
+        &mut self,
+        answer: StoreAnswer,
+        replica: &mut Replica,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> (Option<WatcherEvent>, Step<()>) {
+        let stage = std::mem::replace(&mut self.stage, Stage::Read);
+        match (stage, answer) {
+            (Stage::Base(head), StoreAnswer::Found { value, .. }) => {
+                let Ok(doc) = parse_base(&value, head.base) else { return self.corrupt(now, rng) };
+                replica.absorb_document(doc);
+                self.absorb(head, replica, now, rng)
+            }
+            (Stage::Base(_), StoreAnswer::Absent) => self.corrupt(now, rng),
+            (_, StoreAnswer::Found { version, value }) => {
+                let Ok(head) = Head::parse(&value) else { return self.corrupt(now, rng) };
+                self.version = version;
+                self.absorb(head, replica, now, rng)
+            }
+            // Before the first command there is no head; that is the empty document.
+            (_, StoreAnswer::Absent) => {
+                self.version = 0;
+                self.confirmed(Revision(0), now)
+            }
+            (Stage::Watch, StoreAnswer::Unchanged) => self.confirmed(self.revision, now),
+            _ => (None, self.retry(now, rng)),
+        }
+    }
+
+    fn absorb(
+        &mut self,
+        head: Head,
+        replica: &mut Replica,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> (Option<WatcherEvent>, Step<()>) {
+        match replica.absorb_head(&head) {
+            Absorbed::Gap if head.base > replica.revision() => {
+                self.stage = Stage::Base(head);
+                (None, self.wake(now))
+            }
+            Absorbed::Gap | Absorbed::Contradiction => self.corrupt(now, rng),
+            _ => self.confirmed(head.revision, now),
+        }
+    }
+
+    fn confirmed(&mut self, revision: Revision, now: Instant) -> (Option<WatcherEvent>, Step<()>) {
+        self.revision = revision;
+        self.backoff.reset();
+        self.stage = Stage::Watch;
+        let event = WatcherEvent::Confirmed { revision, asked: self.head_asked };
+        let step = if self.once { Step::Done(()) } else { self.wake(now) };
+        (Some(event), step)
+    }
+
+    fn corrupt(&mut self, now: Instant, rng: &mut impl Rng) -> (Option<WatcherEvent>, Step<()>) {
+        (Some(WatcherEvent::Corrupt), self.retry(now, rng))
+    }
+
+    fn retry(&mut self, now: Instant, rng: &mut impl Rng) -> Step<()> {
+        self.stage = Stage::Read;
+        Step::Wait(now + self.backoff.next_wait(rng))
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,1 +1,25 @@
 //! Membership and configuration agreement without sockets or clocks.
+//!
+//! Every part takes inputs (datagrams, store answers, the time) and returns actions. The driver
+//! owns the sockets and the clock: it calls [`Agent::tick`] every [`TICK`], passes received
+//! datagrams to [`Agent::receive`], and carries out the [`Output`]s that come back. Store calls
+//! are made one at a time for each state machine ([`Command`], [`Watcher`], [`Entries`]).
+
+pub mod agent;
+pub mod datagram;
+pub mod entries;
+pub mod freshness;
+pub mod intent;
+pub mod measure;
+pub mod membership;
+pub mod record;
+pub mod store;
+
+pub use agent::{Agent, AgentConfig, Output, TICK};
+pub use datagram::{DATAGRAM_MAX_BYTES, Datagram, MembersPull, MembersPush};
+pub use entries::{Entries, EntryValue};
+pub use freshness::{Confirmed, Freshness, Stale};
+pub use intent::{Command, CommandOutcome, Head, NotAccepted, Replica, Watcher};
+pub use membership::{Membership, ViewChange};
+pub use record::{Addresses, MemberState, Record};
+pub use store::{Step, StoreAnswer, StoreCall};
--- /dev/null
+++ b/crates/fleet/src/membership/rumours.rs
@@ -0,0 +1,107 @@
+//! The queue of rumours, each sent a bounded number of times.
+
+use std::collections::{BTreeMap, HashMap};
+
+use oleandertiller_model::{NodeName, ZoneName, codec};
+
+use crate::datagram::Rumour;
+
+/// Sends per rumour as a multiple of log2 of the number of members.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// What a rumour is about; a newer rumour replaces an older one about the same subject.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// A member.
+    Node(NodeName),
+    /// A zone.
+    Zone(ZoneName),
+}
+
+impl Subject {
+    fn of(rumour: &Rumour) -> Self {
+        match rumour {
+            Rumour::Record(record) => Self::Node(record.node.clone()),
+            Rumour::State { node, .. } => Self::Node(node.clone()),
+            Rumour::ZoneAnswers(zone) => Self::Zone(zone.clone()),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Queued {
+    rumour: Rumour,
+    bytes: usize,
+}
+
+/// Rumours under way, least sent first.
+#[derive(Clone, Debug, Default)]
+pub struct Rumours {
+    queue: BTreeMap<(u32, u64), Queued>,
+    index: HashMap<Subject, (u32, u64)>,
+    next: u64,
+}
+
+/// Returns how often a rumour is sent in a fleet of `members`.
+pub fn send_limit(members: usize) -> u32 {
+    SENDS_PER_DOUBLING * (members + 1).next_power_of_two().ilog2().max(1)
+}
+
+impl Rumours {
+    /// Returns the number of rumours under way.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns whether no rumour is under way.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Adds a rumour in place of any other about the same subject.
+    pub fn add(&mut self, rumour: Rumour) {
+        let subject = Subject::of(&rumour);
+        self.drop_subject(&subject);
+        let key = (0, self.next);
+        self.next += 1;
+        let bytes = codec::encode(&rumour).len();
+        self.index.insert(subject, key);
+        self.queue.insert(key, Queued { rumour, bytes });
+    }
+
+    /// Drops the rumour about a subject.
+    pub fn drop_subject(&mut self, subject: &Subject) {
+        if let Some(key) = self.index.remove(subject) {
+            self.queue.remove(&key);
+        }
+    }
+
+    /// Takes the least sent rumours that fit `room` bytes, and counts them as sent once more.
+    pub fn take(&mut self, room: usize, members: usize) -> Vec<Rumour> {
+        let limit = send_limit(members);
+        let mut left = room;
+        let mut keys = Vec::new();
+        for (key, queued) in &self.queue {
+            if queued.bytes > left {
+                break;
+            }
+            left -= queued.bytes;
+            keys.push(*key);
+        }
+        keys.into_iter().filter_map(|key| self.sent(key, limit)).collect()
+    }
+
+    fn sent(&mut self, key: (u32, u64), limit: u32) -> Option<Rumour> {
+        let queued = self.queue.remove(&key)?;
+        let rumour = queued.rumour.clone();
+        let subject = Subject::of(&rumour);
+        if key.0 + 1 >= limit {
+            self.index.remove(&subject);
+        } else {
+            let key = (key.0 + 1, key.1);
+            self.index.insert(subject, key);
+            self.queue.insert(key, queued);
+        }
+        Some(rumour)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/membership/sync.rs
@@ -0,0 +1,261 @@
+//! Anti-entropy between two members, and the transfer of the table to a member that joins.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::{NodeName, codec};
+use rand::{Rng, seq::SliceRandom};
+
+use super::{
+    Action, Membership,
+    table::{Slot, bucket_range},
+};
+use crate::{
+    datagram::{Body, Datagram, MembersPull, MembersPush, SummaryEntry},
+    record::Record,
+};
+
+/// Interval of anti-entropy exchanges.
+pub const INTERVAL: Duration = Duration::from_secs(10);
+
+/// Buckets compared in one exchange; with about 265 records each they take 2.5 KB.
+const BUCKETS_PER_EXCHANGE: usize = 4;
+
+/// Differing buckets from which on the table is pulled page by page instead.
+const BUCKETS_FOR_PULL: usize = 16;
+
+/// Entries of one summary; they are up to 10 bytes each and must fit a datagram with its head.
+const SUMMARY_ENTRIES: usize = 80;
+
+/// Room for records in a datagram, below its limit by the head and the wanted hashes.
+const RECORDS_BYTES: usize = 700;
+
+/// Wanted hashes in one datagram.
+const WANTED_MAX: usize = 40;
+
+/// Records of a page.
+pub const PAGE: usize = 200;
+
+/// Interval of pages: 200 records of about 80 bytes a second stay below 24 KB/s.
+pub const PAGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a page that did not come is asked for elsewhere.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time between transfers of the whole table.
+const PULL_PAUSE: Duration = Duration::from_secs(60);
+
+/// Where the transfer of the table stands.
+#[derive(Clone, Debug)]
+pub(super) struct PullPlan {
+    /// Whether the records of called services are still being pulled.
+    called: bool,
+    after: Option<NodeName>,
+    due: Instant,
+    /// Peer for the first page; later ones are spread over random peers.
+    peer: Option<Slot>,
+}
+
+impl Membership {
+    pub(super) fn tick_sync(&mut self, now: Instant) {
+        if now >= self.next_sync {
+            self.next_sync = now + INTERVAL.mul_f64(self.rng.random_range(0.9..1.1));
+            if let Some(slot) = self.random_members(1, self.local).first().copied() {
+                let buckets = self.table.digest().to_vec();
+                self.send(slot, Body::Digest { buckets });
+            }
+        }
+        self.tick_pull(now);
+    }
+
+    /// Starts to pull the table: called services first.
+    pub(super) fn start_pull(&mut self, peer: Option<Slot>, now: Instant) {
+        let called = !self.called.is_empty();
+        self.plan = Some(PullPlan { called, after: None, due: now, peer });
+    }
+
+    fn tick_pull(&mut self, now: Instant) {
+        let Some(plan) = &self.plan else { return };
+        if now < plan.due {
+            return;
+        }
+        let services = if plan.called { self.called.clone() } else { Vec::new() };
+        let pull = MembersPull { services, after: plan.after.clone() };
+        let peer = plan.peer.or_else(|| self.random_members(1, self.local).first().copied());
+        let address = peer.and_then(|slot| self.table.entry(slot));
+        if let Some(plan) = &mut self.plan {
+            plan.peer = None;
+            plan.due = now + PAGE_TIMEOUT;
+        }
+        if let Some(address) = address.map(|entry| entry.record.addresses.inner) {
+            self.out.push(Action::Pull { address, pull });
+        }
+    }
+
+    /// Answers a peer's pull.
+    pub fn serve_pull(&self, pull: &MembersPull) -> MembersPush {
+        let after = self.table.after(pull.after.as_ref()).map(|entry| &entry.record);
+        let mut wanted = after.filter(|record| {
+            record.is_present()
+                && (pull.services.is_empty() || pull.services.contains(&record.service))
+        });
+        let records: Vec<Record> = wanted.by_ref().take(PAGE).cloned().collect();
+        MembersPush { records, more: wanted.next().is_some() }
+    }
+
+    /// Takes in a page, or `None` when the pull failed.
+    pub fn pulled(&mut self, push: Option<MembersPush>, now: Instant) {
+        let Some(mut plan) = self.plan.take() else { return };
+        plan.due = now + PAGE_INTERVAL;
+        let Some(push) = push else {
+            self.plan = Some(plan);
+            return;
+        };
+        plan.after = push.records.last().map(|record| record.node.clone());
+        for record in push.records {
+            self.merge(record, false, now);
+        }
+        if push.more {
+            self.plan = Some(plan);
+        } else if plan.called {
+            self.plan = Some(PullPlan { called: false, after: None, ..plan });
+        } else {
+            self.pulled_at = Some(now);
+        }
+    }
+
+    pub(super) fn digest_received(
+        &mut self,
+        datagram: &Datagram,
+        source: SocketAddr,
+        theirs: &[u32],
+        now: Instant,
+    ) {
+        let own = self.table.digest();
+        if theirs.len() != own.len() {
+            return;
+        }
+        let mut differing: Vec<usize> =
+            (0..own.len()).filter(|bucket| own[*bucket] != theirs[*bucket]).collect();
+        self.pull_if_far(datagram, differing.len(), now);
+        differing.shuffle(&mut self.rng);
+        for bucket in differing.into_iter().take(BUCKETS_PER_EXCHANGE) {
+            self.send_summary(datagram, source, bucket);
+        }
+    }
+
+    fn pull_if_far(&mut self, datagram: &Datagram, differing: usize, now: Instant) {
+        let recent =
+            self.pulled_at.is_some_and(|at| now.saturating_duration_since(at) < PULL_PAUSE);
+        if differing >= BUCKETS_FOR_PULL && self.plan.is_none() && !recent {
+            let peer = self.table.slot(&datagram.from);
+            self.plan = Some(PullPlan { called: false, after: None, due: now, peer });
+        }
+    }
+
+    fn send_summary(&mut self, datagram: &Datagram, source: SocketAddr, bucket: usize) {
+        let (first, last) = bucket_range(bucket);
+        let all = self.table.summary(first, last);
+        let mut from = first;
+        let mut rest = &all[..];
+        loop {
+            // Entries with equal hashes must stay in one part.
+            let mut cut = rest.len().min(SUMMARY_ENTRIES);
+            while cut > 0 && cut < rest.len() && rest[cut - 1].node == rest[cut].node {
+                cut += 1;
+            }
+            let to = if cut == rest.len() { last } else { rest[cut - 1].node };
+            let entries = rest[..cut].to_vec();
+            let body = Body::Summary { bucket: bucket as u8, from, to, entries };
+            self.reply(datagram, source, body);
+            rest = &rest[cut..];
+            if to == last {
+                return;
+            }
+            from = to + 1;
+        }
+    }
+
+    pub(super) fn summary_received(
+        &mut self,
+        datagram: &Datagram,
+        source: SocketAddr,
+        (from, to): (u32, u32),
+        theirs: &[SummaryEntry],
+    ) {
+        if from > to {
+            return;
+        }
+        let own = self.table.summary(from, to);
+        let known: HashSet<_> = own.iter().map(|e| (e.node, e.version)).collect();
+        let sent: HashSet<_> = theirs.iter().map(|e| (e.node, e.version)).collect();
+        let differs = |e: &&SummaryEntry| !known.contains(&(e.node, e.version));
+        let wanted: Vec<u32> = theirs.iter().filter(differs).map(|e| e.node).collect();
+        let lacking = own.iter().filter(|e| !sent.contains(&(e.node, e.version))).map(|e| e.node);
+        // A member that is gone here but present there is told as well.
+        let mut offered: Vec<u32> = lacking.chain(wanted.iter().copied()).collect();
+        offered.sort_unstable();
+        offered.dedup();
+        self.send_records(datagram, source, &offered, &wanted);
+    }
+
+    pub(super) fn records_received(
+        &mut self,
+        datagram: &Datagram,
+        source: SocketAddr,
+        records: &[Record],
+        wanted: &[u32],
+        now: Instant,
+    ) {
+        for record in records {
+            self.merge(record.clone(), true, now);
+        }
+        if !wanted.is_empty() {
+            self.send_records(datagram, source, wanted, &[]);
+        }
+    }
+
+    /// Sends the records with the given hashes, in as many datagrams as they need.
+    fn send_records(
+        &mut self,
+        datagram: &Datagram,
+        source: SocketAddr,
+        hashes: &[u32],
+        wanted: &[u32],
+    ) {
+        let records: Vec<Record> = hashes
+            .iter()
+            .flat_map(|hash| self.table.with_hash(*hash))
+            .map(|entry| entry.record.clone())
+            .collect();
+        let mut wanted = wanted.chunks(WANTED_MAX).map(<[u32]>::to_vec);
+        let mut part = Vec::new();
+        let mut bytes = 0;
+        for record in records {
+            let size = codec::encode(&record).len();
+            if bytes + size > RECORDS_BYTES && !part.is_empty() {
+                let records = std::mem::take(&mut part);
+                let wanted = wanted.next().unwrap_or_default();
+                self.reply(datagram, source, Body::Records { records, wanted });
+                bytes = 0;
+            }
+            bytes += size;
+            part.push(record);
+        }
+        let last = wanted.next().unwrap_or_default();
+        if !part.is_empty() || !last.is_empty() {
+            self.reply(datagram, source, Body::Records { records: part, wanted: last });
+        }
+        for wanted in wanted {
+            self.reply(datagram, source, Body::Records { records: Vec::new(), wanted });
+        }
+    }
+
+    fn reply(&mut self, datagram: &Datagram, to: SocketAddr, body: Body) {
+        let node = Some(datagram.from.clone());
+        self.out.push(Action::Send { to, node, body, introduce: false });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/membership/table.rs
@@ -0,0 +1,290 @@
+//! The member table with its indexes and digest.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    hash::Hash,
+    time::Instant,
+};
+
+use oleandertiller_model::{NodeName, RegionName, ServiceName, VersionName, ZoneName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    datagram::{DIGEST_BUCKETS, SummaryEntry},
+    record::{MemberState, Record},
+};
+
+/// Names kept for sharing before the set is emptied; bounds it when versions come and go.
+const INTERNED_MAX: usize = 8_192;
+
+/// Number of a slot in the table; reused after removal.
+pub type Slot = u32;
+
+/// One member with what only this node knows of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What all nodes know.
+    pub record: Record,
+    /// Hash of the name.
+    pub hash: u32,
+    /// When the state was entered here.
+    pub since: Instant,
+    /// When the member itself was last heard.
+    pub heard: Option<Instant>,
+}
+
+/// Shared copies of the names that many records have in common.
+#[derive(Clone, Debug, Default)]
+struct Names {
+    zones: HashSet<ZoneName>,
+    regions: HashSet<RegionName>,
+    services: HashSet<ServiceName>,
+    versions: HashSet<VersionName>,
+}
+
+fn intern<T: Clone + Eq + Hash>(set: &mut HashSet<T>, name: &mut T) {
+    match set.get(name) {
+        Some(shared) => *name = shared.clone(),
+        None => {
+            if set.len() >= INTERNED_MAX {
+                set.clear();
+            }
+            set.insert(name.clone());
+        }
+    }
+}
+
+/// All known members, the local one included.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    slots: Vec<Option<Entry>>,
+    free: Vec<Slot>,
+    by_node: BTreeMap<NodeName, Slot>,
+    by_service: HashMap<ServiceName, Vec<Slot>>,
+    by_zone: BTreeMap<ZoneName, Vec<Slot>>,
+    by_hash: BTreeSet<(u32, Slot)>,
+    buckets: Vec<u32>,
+    names: Names,
+    present: usize,
+}
+
+/// Returns the hash of a node's name.
+pub fn node_hash(node: &NodeName) -> u32 {
+    xxh3_64(node.as_str().as_bytes()) as u32
+}
+
+fn version_hash(record: &Record) -> u32 {
+    let mut buf = [0; 12];
+    buf[..8].copy_from_slice(&record.incarnation.to_le_bytes());
+    buf[8..].copy_from_slice(&record.refutation.to_le_bytes());
+    xxh3_64(&buf) as u32
+}
+
+fn bucket_of(hash: u32) -> usize {
+    hash as usize / (u32::MAX as usize / DIGEST_BUCKETS + 1)
+}
+
+/// Returns the first and last hash of a bucket.
+pub fn bucket_range(bucket: usize) -> (u32, u32) {
+    let width = u32::MAX as usize / DIGEST_BUCKETS + 1;
+    ((bucket * width) as u32, (bucket * width + width - 1) as u32)
+}
+
+/// Suspicion is not part of the digest: it is either refuted, which changes the refutation
+/// counter, or ends in removal.
+fn digest_of(record: &Record, hash: u32) -> u32 {
+    if record.is_present() { hash.rotate_left(7) ^ version_hash(record) } else { 0 }
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self { buckets: vec![0; DIGEST_BUCKETS], ..Self::default() }
+    }
+
+    /// Returns the number of records, those of failed and departed members included.
+    pub fn len(&self) -> usize {
+        self.by_node.len()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.by_node.is_empty()
+    }
+
+    /// Returns the number of present (alive or suspect) members.
+    pub fn present(&self) -> usize {
+        self.present
+    }
+
+    /// Returns the number of slots, used and free.
+    pub fn slot_count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns the slot of a node.
+    pub fn slot(&self, node: &NodeName) -> Option<Slot> {
+        self.by_node.get(node).copied()
+    }
+
+    /// Returns the entry in a slot.
+    pub fn entry(&self, slot: Slot) -> Option<&Entry> {
+        self.slots.get(slot as usize)?.as_ref()
+    }
+
+    /// Returns the entry of a node.
+    pub fn get(&self, node: &NodeName) -> Option<&Entry> {
+        self.entry(self.slot(node)?)
+    }
+
+    /// Returns all entries in order of their names, after `after`.
+    pub fn after(&self, after: Option<&NodeName>) -> impl Iterator<Item = &Entry> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let start = after.map_or(Unbounded, Excluded);
+        self.by_node
+            .range::<NodeName, _>((start, Unbounded))
+            .filter_map(|(_, slot)| self.entry(*slot))
+    }
+
+    /// Returns the entries of a service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let slots = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        slots.iter().filter_map(|slot| self.entry(*slot))
+    }
+
+    /// Returns the slots of a zone.
+    pub fn slots_of_zone(&self, zone: &ZoneName) -> &[Slot] {
+        self.by_zone.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the names of all zones with records.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.by_zone.keys()
+    }
+
+    /// Returns the digest of the present records.
+    pub fn digest(&self) -> &[u32] {
+        &self.buckets
+    }
+
+    /// Returns the summary of present records whose hash is in `from..=to`.
+    pub fn summary(&self, from: u32, to: u32) -> Vec<SummaryEntry> {
+        self.present_in(from, to)
+            .map(|entry| SummaryEntry { node: entry.hash, version: version_hash(&entry.record) })
+            .collect()
+    }
+
+    /// Returns the present entries whose hash is in `from..=to`.
+    pub fn present_in(&self, from: u32, to: u32) -> impl Iterator<Item = &Entry> {
+        let range = self.by_hash.range((from, 0)..=(to, Slot::MAX));
+        range.filter_map(|(_, slot)| self.entry(*slot)).filter(|entry| entry.record.is_present())
+    }
+
+    /// Returns all entries whose hash is `hash`.
+    pub fn with_hash(&self, hash: u32) -> impl Iterator<Item = &Entry> {
+        let range = self.by_hash.range((hash, 0)..=(hash, Slot::MAX));
+        range.filter_map(|(_, slot)| self.entry(*slot))
+    }
+
+    /// Notes that the member itself was heard.
+    pub fn touch(&mut self, slot: Slot, now: Instant) {
+        if let Some(Some(entry)) = self.slots.get_mut(slot as usize) {
+            entry.heard = Some(now);
+        }
+    }
+
+    /// Sets the state of a member without any other change.
+    pub fn set_state(&mut self, slot: Slot, state: MemberState, now: Instant) {
+        let Some(entry) = self.entry(slot) else { return };
+        let record = Record { state, ..entry.record.clone() };
+        self.put(record, now);
+    }
+
+    /// Stores a record in place of any other of the same node, and returns its slot.
+    pub fn put(&mut self, mut record: Record, now: Instant) -> Slot {
+        self.intern(&mut record);
+        match self.slot(&record.node) {
+            Some(slot) => self.replace(slot, record, now),
+            None => self.insert(record, now),
+        }
+    }
+
+    /// Removes a node's record.
+    pub fn remove(&mut self, slot: Slot) -> Option<Record> {
+        let entry = self.slots.get_mut(slot as usize)?.take()?;
+        self.unlink(slot, &entry);
+        self.by_node.remove(&entry.record.node);
+        self.by_hash.remove(&(entry.hash, slot));
+        self.free.push(slot);
+        Some(entry.record)
+    }
+
+    fn intern(&mut self, record: &mut Record) {
+        intern(&mut self.names.zones, &mut record.zone);
+        intern(&mut self.names.regions, &mut record.region);
+        intern(&mut self.names.services, &mut record.service);
+        intern(&mut self.names.versions, &mut record.version);
+    }
+
+    fn insert(&mut self, record: Record, now: Instant) -> Slot {
+        let hash = node_hash(&record.node);
+        let slot = self.free.pop().unwrap_or(self.slots.len() as Slot);
+        if slot as usize == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.by_node.insert(record.node.clone(), slot);
+        self.by_hash.insert((hash, slot));
+        let entry = Entry { record, hash, since: now, heard: None };
+        self.link(slot, &entry);
+        self.slots[slot as usize] = Some(entry);
+        slot
+    }
+
+    fn replace(&mut self, slot: Slot, record: Record, now: Instant) -> Slot {
+        let Some(old) = self.slots[slot as usize].take() else { return slot };
+        let since = if old.record.state == record.state { old.since } else { now };
+        let moved = old.record.service != record.service || old.record.zone != record.zone;
+        let entry = Entry { record, hash: old.hash, since, heard: old.heard };
+        if moved {
+            self.unlink(slot, &old);
+            self.link(slot, &entry);
+        } else {
+            self.count(&old, false);
+            self.count(&entry, true);
+        }
+        self.slots[slot as usize] = Some(entry);
+        slot
+    }
+
+    fn link(&mut self, slot: Slot, entry: &Entry) {
+        let record = &entry.record;
+        self.by_service.entry(record.service.clone()).or_default().push(slot);
+        self.by_zone.entry(record.zone.clone()).or_default().push(slot);
+        self.count(entry, true);
+    }
+
+    fn unlink(&mut self, slot: Slot, entry: &Entry) {
+        let record = &entry.record;
+        if let Some(slots) = self.by_service.get_mut(&record.service) {
+            slots.retain(|known| *known != slot);
+            if slots.is_empty() {
+                self.by_service.remove(&record.service);
+            }
+        }
+        if let Some(slots) = self.by_zone.get_mut(&record.zone) {
+            slots.retain(|known| *known != slot);
+            if slots.is_empty() {
+                self.by_zone.remove(&record.zone);
+            }
+        }
+        self.count(entry, false);
+    }
+
+    /// Adds an entry to the digest and the number of present members, or takes it out.
+    fn count(&mut self, entry: &Entry, added: bool) {
+        self.buckets[bucket_of(entry.hash)] ^= digest_of(&entry.record, entry.hash);
+        if entry.record.is_present() {
+            self.present = if added { self.present + 1 } else { self.present - 1 };
+        }
+    }
+}
