--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -20,7 +20,8 @@
 pub const DIGEST_BUCKETS: usize = 64;
 
 /// Statement about a member that spreads from node to node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Rumour {
     /// A whole record.
     Record(Box<Record>),
@@ -40,7 +41,8 @@
 }
 
 /// Short form of a present record in a [`Body::Summary`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SummaryEntry {
     /// Hash of the node's name.
     pub node: u32,
@@ -49,7 +51,8 @@
 }
 
 /// What a datagram asks or answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Body {
     /// Asks for an [`Body::Ack`] with the same sequence number.
     Ping {
@@ -98,7 +101,8 @@
 }
 
 /// One gossip datagram.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Datagram {
     /// Must be [`PROTOCOL_VERSION`].
     pub protocol: u16,
@@ -137,7 +141,8 @@
 }
 
 /// Asks a peer for a page of its member table, over `MEMBERS_PATH` of the inner port.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct MembersPull {
     /// Only members of these services; empty for all.
@@ -147,7 +152,8 @@
 }
 
 /// One page of a member table.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct MembersPush {
     /// Records in order of their names.
--- a/crates/fleet/src/entries.rs
+++ b/crates/fleet/src/entries.rs
@@ -35,7 +35,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_secs(600);
 
 /// Value of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct EntryValue {
     /// Holder.
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -21,7 +21,8 @@
 
 /// A confirmation by the store, as it travels: `age` before it was sent, a watcher read
 /// `revision` from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Confirmed {
     /// Revision of the head that was read.
--- a/crates/fleet/src/intent/head.rs
+++ b/crates/fleet/src/intent/head.rs
@@ -36,7 +36,8 @@
 }
 
 /// The head: what was accepted last and where to find the rest.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Head {
     /// Present revision.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Addresses of a node's four sockets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "WireAddresses", into = "WireAddresses")]
 pub struct Addresses {
     /// Calls from clients.
@@ -20,7 +21,8 @@
 }
 
 /// Encoded form: one IP address when all sockets share it, which saves 15 bytes a record.
-#[derive(Clone, Copy, Serialize, Deserialize)]
+#[derive(Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 enum WireAddresses {
     Shared(IpAddr, [u16; 4]),
     Separate([SocketAddr; 4]),
@@ -47,9 +49,8 @@
 }
 
 /// State of a member. At the same incarnation and refutation, the later one in this list wins.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
     /// Answers pings.
@@ -67,7 +68,8 @@
 pub type Precedence = (u64, u32, MemberState);
 
 /// What is known of one node and the upstream beside it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Record {
     /// Name, unique in the fleet.
