Fix a race in the garbage test of the inner port

Cause: the node may close the connection before the test shuts its side down, and the shutdown then fails with 'not connected' (seen once in a full run on a busy machine). Ruled out: a panic or a kept connection in the node. Conclusion: that error is ignored; that the connection closes and that the node still serves is checked as before.

--- a/tests/testsuite/dataplane/inner.rs
+++ b/tests/testsuite/dataplane/inner.rs
@@ -49,7 +49,8 @@
         ] {
             let mut stream = TcpStream::connect(member.node.config().inner).await.unwrap();
             stream.write_all(bytes).await.unwrap();
-            stream.shutdown(std::net::Shutdown::Write).unwrap();
+            // The node may have closed the connection before, which is what is asked of it.
+            let _ = stream.shutdown(std::net::Shutdown::Write);
             let mut rest = Vec::new();
             let read = stream.read_to_end(&mut rest);
             let _ = async_std::future::timeout(STEP, read).await.expect("the connection is closed");
