Run keyed requests through their keeper

Cause: a client that repeated a release ran it again; the ingress had no ledger to ask. Ruled out: cancelling the run when its client goes (the repeat would then be in doubt, while the client wants the answer); handing over entries that still run (the repeat would be in doubt although the run succeeds). Conclusion: the keeper notes the key first; planned stops hand over, a keeper whose address refuses connections is declared lost.

--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     error::Outcome,
-    intent::{Change, Intent, Revision},
+    intent::{Change, Intent, Keeper, Revision},
     key::IdempotencyKey,
     load::LoadReport,
     name::{KindName, ServiceName},
@@ -26,6 +26,9 @@
 /// Path of the `h2` stream that pulls member records.
 pub const MEMBERS_PATH: &str = "/members";
 
+/// Path of the `h2` stream that pulls ledger entries; its body is a [`LedgerPull`].
+pub const LEDGER_PATH: &str = "/ledger";
+
 /// How a call entered this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -114,3 +117,16 @@
     /// The whole document, when the changes are no longer at hand.
     Document(Box<Intent>),
 }
+
+/// Asks a holder for the ledger entries whose keeper is the sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LedgerPull {
+    /// Service of the ledger.
+    pub service: ServiceName,
+    /// The sender.
+    pub to: Keeper,
+    /// Epoch of the keeper set in force at the sender.
+    pub epoch: u64,
+}
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -51,6 +51,10 @@
     Replay(A),
     /// Refuse it with this kind.
     Refuse(ErrorKind),
+    /// Ask again soon: a run of the key is in progress.
+    InProgress,
+    /// Ask again soon: holders that may know the key have not handed over yet.
+    Pending,
     /// This node is not the key's keeper by the set that it knows.
     NotKeeper,
 }
@@ -143,7 +147,7 @@
         }
         if let Some(entry) = self.entries.get(&key) {
             return match &entry.progress {
-                Progress::Running => Claim::Refuse(ErrorKind::KeyInProgress),
+                Progress::Running => Claim::InProgress,
                 Progress::Done(answer) => Claim::Replay(answer.clone()),
                 Progress::Unknown => Claim::Refuse(ErrorKind::KeyInDoubt),
             };
@@ -152,11 +156,14 @@
             // A date in the future would prove the key new to a later keeper that has lost it.
             return Claim::Refuse(ErrorKind::BadRequest);
         }
-        if self.expired_key(&key, wall)
-            || self.authority.standing(&key, wall, &self.cfg) != Standing::Complete
-        {
+        if self.expired_key(&key, wall) {
             return Claim::Refuse(ErrorKind::KeyInDoubt);
         }
+        match self.authority.standing(&key, wall, &self.cfg) {
+            Standing::Complete => {}
+            Standing::Pending => return Claim::Pending,
+            Standing::InDoubt => return Claim::Refuse(ErrorKind::KeyInDoubt),
+        }
         if self.entries.len() >= self.cfg.capacity {
             return Claim::Refuse(ErrorKind::LedgerFull);
         }
@@ -181,13 +188,13 @@
     }
 
     /// Returns what `to` must know of its keys, or `None` when this ledger does not have exactly
-    /// that epoch in force.
+    /// that epoch in force or still runs one of them.
     ///
     /// A holder that is ahead would leave out keys that moved on, and one that is behind could
     /// still accept the keys itself.
     pub fn hand_over(&mut self, to: &Keeper, epoch: u64, now: Instant) -> Option<Handover<A>> {
         let set = self.authority.set();
-        if set.epoch != epoch || !set.members.contains(to) {
+        if set.epoch != epoch || !set.members.contains(to) || self.runs_key_of(to) {
             return None;
         }
         let entries = self
@@ -238,6 +245,12 @@
         self.entries.is_empty()
     }
 
+    fn runs_key_of(&self, to: &Keeper) -> bool {
+        let running = |entry: &Entry<A>| matches!(entry.progress, Progress::Running);
+        let set = self.authority.set();
+        self.entries.iter().any(|(key, e)| running(e) && set.keeper_of(key) == Some(to))
+    }
+
     /// A UUIDv7 key older than the window may have run and been forgotten.
     fn expired_key(&self, key: &IdempotencyKey, wall: SystemTime) -> bool {
         let Some(created) = key.created() else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,6 +4,8 @@
 pub mod conn;
 pub mod ingress;
 pub mod inner;
+pub mod keeper;
+pub mod keys;
 pub mod metrics;
 pub mod operator;
 pub mod owner;
@@ -25,15 +27,17 @@
 };
 use bytes::Bytes;
 use oleandertiller_model::{
-    Clock, ErrorKind, Outcome,
-    codec::PROTOCOL_VERSION,
-    message::{CallHead, ReplyHead, Role},
+    Clock, codec,
+    intent::Keeper,
+    message::{CallHead, LEDGER_PATH, LedgerPull, ReplyHead, Role},
 };
 
 use self::{
     config::NodeConfig,
-    ingress::Ingress,
+    ingress::{Destinations, Ingress},
     inner::{ControlHandler, InnerHandler, NoControl, client::InnerClient, server::InnerServer},
+    keeper::KeeperService,
+    keys::Keys,
     metrics::Metrics,
     operator::OperatorApp,
     owner::Owner,
@@ -58,6 +62,7 @@
     kernel: Kernel,
     owner: Arc<Owner<C>>,
     ingress: Arc<Ingress<C>>,
+    keys: Arc<Keys<C>>,
     streams: Box<dyn Fn() -> usize + Send + Sync>,
 }
 
@@ -106,36 +111,38 @@
 /// Answers the inner port from the owner and the control services.
 struct NodeHandler<C, K> {
     clock: C,
+    cfg: Arc<NodeConfig>,
     owner: Arc<Owner<C>>,
+    ingress: Arc<Ingress<C>>,
+    keys: Arc<Keys<C>>,
     control: K,
 }
 
 impl<C: Clock, K: ControlHandler> InnerHandler for NodeHandler<C, K> {
     async fn call(&self, head: CallHead, body: Bytes) -> (ReplyHead, Bytes) {
-        // The ledger is to be plugged in here; until then this node keeps no keys.
+        let deadline = self.clock.now() + head.remaining.min(MAX_REMAINING);
         if head.role == Role::Keeper {
-            return (self.refuse(&head, ErrorKind::StaleIntent), Bytes::new());
+            return self.ingress.answer_as_keeper(head, deadline, body).await;
         }
-        let deadline = self.clock.now() + head.remaining.min(MAX_REMAINING);
         self.owner.run(&head, deadline, &body).await
     }
 
     async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        if path == LEDGER_PATH {
+            return self.hand_over(&body);
+        }
         self.control.control(path, body).await
     }
 }
 
 impl<C: Clock, K> NodeHandler<C, K> {
-    fn refuse(&self, head: &CallHead, kind: ErrorKind) -> ReplyHead {
-        ReplyHead {
-            protocol: PROTOCOL_VERSION,
-            request: head.request,
-            outcome: Outcome::NotRun(kind),
-            status: 0,
-            content_type: None,
-            body_len: 0,
-            load: self.owner.load(),
+    /// Answers a pull of ledger entries; `None` inside the answer when the epochs differ.
+    fn hand_over(&self, body: &[u8]) -> Option<Vec<u8>> {
+        let pull: LedgerPull = codec::decode(body).ok()?;
+        if pull.service != self.cfg.service {
+            return None;
         }
+        Some(codec::encode(&self.keys.hand_over(&pull)))
     }
 }
 
@@ -199,40 +206,49 @@
             cfg.body_max_bytes,
         );
         let client = Arc::new(client);
-        let handler = NodeHandler { clock: clock.clone(), owner: owner.clone(), control };
-        let inner = Arc::new(InnerServer::new(Arc::new(handler), cfg.body_max_bytes));
+        let me = Keeper { node: cfg.name.clone(), incarnation: cfg.incarnation };
+        let keys = Arc::new(Keys::new(cfg.ledger.clone(), me, clock.clone()));
         let ingress = Arc::new(Ingress::new(
             cfg.clone(),
             clock.clone(),
-            view,
+            view.clone(),
             timers.clone(),
             metrics.clone(),
-            owner.clone(),
-            client.clone(),
+            Destinations { owner: owner.clone(), client: client.clone(), keys: keys.clone() },
         ));
+        let handler = NodeHandler {
+            clock: clock.clone(),
+            cfg: cfg.clone(),
+            owner: owner.clone(),
+            ingress: ingress.clone(),
+            keys: keys.clone(),
+            control,
+        };
+        let inner = Arc::new(InnerServer::new(Arc::new(handler), cfg.body_max_bytes));
+        let keeper =
+            KeeperService::new(cfg.clone(), clock.clone(), view, client.clone(), keys.clone());
         let mut app = operator::app(owner.clone(), metrics);
         add_routes(&mut app);
 
         let mut kernel = Kernel::default();
-        let parts = (owner.clone(), ingress.clone(), inner.clone());
+        let parts = (owner.clone(), ingress.clone(), inner.clone(), keys);
         let registered = (|| {
-            let keeper = (clock.clone(), timers, owner.clone());
-            kernel.register(
-                "time",
-                Running::start(|stop| keep_time(keeper.0, keeper.1, keeper.2, stop)),
-            )?;
+            let time = (clock.clone(), timers, owner.clone());
+            kernel
+                .register("time", Running::start(|stop| keep_time(time.0, time.1, time.2, stop)))?;
             kernel.register("owner", owner)?;
             kernel.register("inner-client", client)?;
             kernel.register("inner-port", Running::start(|stop| inner.serve(inner_port, stop)))?;
             kernel.register("ingress", ingress.clone())?;
+            kernel.register("keeper", Arc::new(keeper))?;
             let serve = |stop| operator::serve(app, operator_port, stop);
             kernel.register("operator-port", Running::start(serve))?;
             kernel.register("client-port", Running::start(|stop| ingress.serve(client_port, stop)))
         })();
         registered.map_err(|error: KernelError| io::Error::other(error))?;
-        let (owner, ingress, inner) = parts;
+        let (owner, ingress, inner, keys) = parts;
         let streams = Box::new(move || inner.streams());
-        Ok(Self { cfg, clock, kernel, owner, ingress, streams })
+        Ok(Self { cfg, clock, kernel, owner, ingress, keys, streams })
     }
 
     /// Returns the settings, with the ports that the system chose.
@@ -250,6 +266,11 @@
         &self.owner
     }
 
+    /// Returns the ledger of idempotency keys.
+    pub fn keys(&self) -> &Arc<Keys<C>> {
+        &self.keys
+    }
+
     /// Returns the address of the client port.
     pub fn client_addr(&self) -> SocketAddr {
         self.cfg.client
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use oleandertiller_model::{NodeName, RegionName, ServiceName, ZoneName};
-use oleandertiller_routing::{limit::LimitConfig, selection::SelectionConfig};
+use oleandertiller_routing::{
+    ledger::LedgerConfig, limit::LimitConfig, selection::SelectionConfig,
+};
 
 /// Largest head that `async-h1` reads, in bytes; a larger setting has no effect.
 pub const HEAD_MAX_BYTES: usize = 8 * 1024 - 1;
@@ -76,6 +78,8 @@
     pub selection: SelectionConfig,
     /// Budget of retries, hedges and probes.
     pub retry: RetryConfig,
+    /// Ledger of idempotency keys.
+    pub ledger: LedgerConfig,
 }
 
 macro_rules! with_methods {
@@ -135,6 +139,8 @@
     with_selection => selection: SelectionConfig;
     /// Sets the retry budget.
     with_retry => retry: RetryConfig;
+    /// Sets the ledger of idempotency keys.
+    with_ledger => ledger: LedgerConfig;
 }
 
 impl NodeConfig {
@@ -166,6 +172,7 @@
             limit: LimitConfig::default(),
             selection: SelectionConfig::default(),
             retry: RetryConfig::default(),
+            ledger: LedgerConfig::default(),
         }
     }
 }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 mod attempts;
+mod keyed;
 pub mod request;
 pub mod route;
 
@@ -38,8 +39,8 @@
     route::{RouteMaker, Routes},
 };
 use crate::node::{
-    config::NodeConfig, conn::Conn, inner::client::InnerClient, metrics::Metrics, owner::Owner,
-    timer::Timers, view::ViewCell,
+    config::NodeConfig, conn::Conn, inner::client::InnerClient, keys::Keys, metrics::Metrics,
+    owner::Owner, timer::Timers, view::ViewCell,
 };
 
 /// Pause after a failed accept, such as for want of file descriptors.
@@ -54,6 +55,7 @@
     metrics: Metrics,
     owner: Arc<Owner<C>>,
     client: Arc<InnerClient<C>>,
+    keys: Arc<Keys<C>>,
     maker: RouteMaker,
     routes: ArcSwap<Routes>,
     budget: Mutex<Budget>,
@@ -61,6 +63,16 @@
     active: AtomicUsize,
 }
 
+/// Where the client port sends requests.
+pub struct Destinations<C> {
+    /// Owner of the local upstream.
+    pub owner: Arc<Owner<C>>,
+    /// Connections to other nodes.
+    pub client: Arc<InnerClient<C>>,
+    /// Ledger of the node's service.
+    pub keys: Arc<Keys<C>>,
+}
+
 /// Counts one thing while it lasts.
 struct Counted<'a>(&'a AtomicUsize);
 
@@ -103,9 +115,9 @@
         view: ViewCell,
         timers: Timers,
         metrics: Metrics,
-        owner: Arc<Owner<C>>,
-        client: Arc<InnerClient<C>>,
+        routes_to: Destinations<C>,
     ) -> Self {
+        let Destinations { owner, client, keys } = routes_to;
         let selection = cfg.selection.clone();
         let maker = RouteMaker { selection, zone: cfg.zone.clone(), metrics: metrics.clone() };
         let retry = cfg.retry;
@@ -118,6 +130,7 @@
             metrics,
             owner,
             client,
+            keys,
             maker,
             routes: ArcSwap::from_pointee(Routes::empty()),
             budget: Mutex::new(budget),
@@ -165,7 +178,11 @@
         }
     }
 
-    async fn one_request(&self, conn: &Conn, stopped: Pin<&mut Recv<'_, ()>>) -> io::Result<Next> {
+    async fn one_request(
+        self: &Arc<Self>,
+        conn: &Conn,
+        stopped: Pin<&mut Recv<'_, ()>>,
+    ) -> io::Result<Next> {
         let idle_end = self.clock.now() + self.cfg.idle_timeout;
         let waiting = pin!(conn.wait_input());
         let input = select(waiting, stopped);
@@ -189,14 +206,14 @@
         }
     }
 
-    async fn request(&self, conn: &Conn, mut req: Request) -> io::Result<Next> {
+    async fn request(self: &Arc<Self>, conn: &Conn, mut req: Request) -> io::Result<Next> {
         let head = match self.head(&req) {
             Ok(head) => head,
             Err(kind) => return self.reject(conn, None, kind).await,
         };
         let asked = match self.admit(&head) {
             Ok(()) => head.asked,
-            Err(kind) => Err(kind),
+            Err(kind) => Err(refusal(&head, kind)),
         };
         if asked.is_err() && head.expects_continue {
             return self
@@ -258,7 +275,7 @@
 
     /// Runs a request; drops it and returns `None` when the client goes.
     async fn run_until_gone(
-        &self,
+        self: &Arc<Self>,
         conn: &Conn,
         asked: &Asked,
         id: Uuid,
@@ -331,6 +348,15 @@
 /// and most requests are answered before their client can have lost interest.
 const WATCH_AFTER: Duration = Duration::from_millis(5);
 
+/// Returns what is said of a request that the node does not take. A request with a key may have
+/// run before, which only the key's keeper knows.
+fn refusal(head: &Head, kind: ErrorKind) -> ErrorKind {
+    match &head.asked {
+        Ok(asked) if asked.is_keyed() => ErrorKind::KeeperUnreachable,
+        _ => kind,
+    }
+}
+
 /// Longest time for which input is thrown away.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts at owners, with retries within the deadline and the budget.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use oleandertiller_model::{
@@ -18,24 +18,20 @@
 
 impl<C: Clock> Ingress<C> {
     /// Runs an accepted request until it has an answer.
-    pub(super) async fn run(&self, asked: &Asked, request: Uuid, body: Bytes) -> Answer {
+    pub(super) async fn run(self: &Arc<Self>, asked: &Asked, request: Uuid, body: Bytes) -> Answer {
         let mut call = self.call_head(asked, request);
-        match (asked.spec().safety, asked.key.is_some()) {
-            (Safety::AtMostOnce, true) => self.run_keyed(asked, &mut call, &body).await,
-            _ => self.attempts(asked, &mut call, &body).await,
+        if asked.is_keyed() {
+            return self.run_keyed(asked, &mut call, &body).await;
         }
+        self.attempts(asked, &mut call, &body).await
     }
 
-    /// Runs a request with an idempotency key of a kind that must run at most once.
-    ///
-    /// The keeper of the key and its ledger are to be asked here, before anything is handed on.
-    /// Until then the request is attempted again only after it was proven not to have run, which
-    /// does not protect against the client's own repeats.
-    async fn run_keyed(&self, asked: &Asked, call: &mut CallHead, body: &Bytes) -> Answer {
-        self.attempts(asked, call, body).await
-    }
-
-    async fn attempts(&self, asked: &Asked, call: &mut CallHead, body: &Bytes) -> Answer {
+    pub(super) async fn attempts(
+        &self,
+        asked: &Asked,
+        call: &mut CallHead,
+        body: &Bytes,
+    ) -> Answer {
         let safety = asked.spec().safety;
         let mut tried: Vec<NodeName> = Vec::new();
         let mut last = Answer::of_kind(ErrorKind::NoUpstream);
--- a/src/node/ingress/request.rs
+++ b/src/node/ingress/request.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use oleandertiller_model::{ErrorKind, IdempotencyKey, KindSpec};
+use oleandertiller_model::{ErrorKind, IdempotencyKey, KindSpec, Safety, message::CallHead};
 use tide::http::{Method, Request, headers::CONTENT_LENGTH};
 use uuid::{Builder, Uuid};
 
@@ -36,6 +36,31 @@
     pub fn spec(&self) -> &KindSpec {
         &self.route.spec.kinds[self.kind]
     }
+
+    /// Returns whether the request must be noted in a ledger before it is run.
+    pub fn is_keyed(&self) -> bool {
+        self.key.is_some() && self.spec().safety == Safety::AtMostOnce
+    }
+
+    /// Rebuilds a request that another node has passed on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of the first thing that this node does not know.
+    pub fn of_call(call: &CallHead, routes: &Routes, deadline: Instant) -> Result<Self, ErrorKind> {
+        let route = routes.service(call.service.as_str()).ok_or(ErrorKind::UnknownService)?;
+        let kind = route.kind(call.kind.as_str()).ok_or(ErrorKind::UnknownKind)?;
+        Ok(Self {
+            route: route.clone(),
+            kind,
+            deadline,
+            depth: call.depth,
+            method: if call.method == "GET" { "GET" } else { "POST" },
+            path: call.path.clone(),
+            content_type: call.content_type.clone(),
+            key: call.key.zip(call.key_text.clone()),
+        })
+    }
 }
 
 /// How the body of a request is delimited.
--- /dev/null
+++ b/tests/testsuite/keyed.rs
@@ -0,0 +1,231 @@
+//! Requests with idempotency keys through nodes in one process, with commands applied to a shared
+//! intent in place of the store.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
+
+use async_channel::Sender;
+use async_std::{
+    future::timeout,
+    task::{self, JoinHandle, block_on},
+};
+use oleandertiller::node::{
+    keeper::{Commands, KeeperService},
+    view::{OwnerInfo, ViewCell},
+};
+use oleandertiller_model::{Action, Change, Intent, ServiceName, SystemClock};
+use uuid::Uuid;
+
+use crate::dataplane::fleet::*;
+
+/// Intent shared by all nodes; a command changes it and every view at once.
+#[derive(Clone)]
+struct SharedIntent {
+    intent: Arc<Mutex<Intent>>,
+    views: Arc<Mutex<Vec<ViewCell>>>,
+}
+
+impl Commands for SharedIntent {
+    async fn submit(&self, action: Action) -> bool {
+        let mut intent = self.intent.lock().unwrap();
+        let change = Change {
+            revision: intent.revision.next(),
+            operation: Uuid::new_v4(),
+            author: "test".into(),
+            at: SystemTime::now(),
+            action,
+        };
+        let accepted = intent.apply(&change).is_ok();
+        let shared = Arc::new(intent.clone());
+        for view in self.views.lock().unwrap().iter() {
+            view.update(|view| view.intent = shared.clone());
+        }
+        accepted
+    }
+}
+
+struct KeeperNode {
+    member: Member,
+    keeper: Arc<KeeperService<SystemClock>>,
+    stop: Sender<()>,
+    task: JoinHandle<()>,
+}
+
+struct Fleet {
+    shared: SharedIntent,
+    nodes: Vec<KeeperNode>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Self {
+        let shared = SharedIntent {
+            intent: Arc::new(Mutex::new(intent())),
+            views: Arc::new(Mutex::new(Vec::new())),
+        };
+        let mut fleet = Self { shared, nodes: Vec::new() };
+        for i in 0..count {
+            let member = Member::start(config(&format!("kettle-{i}"))).await;
+            fleet.shared.views.lock().unwrap().push(member.view.clone());
+            let keeper = member.node.kernel().find::<KeeperService<SystemClock>>("keeper").unwrap();
+            let (stop, stopped) = async_channel::bounded(1);
+            let (shared, running) = (fleet.shared.clone(), keeper.clone());
+            let task = task::spawn(async move { running.run(&shared, stopped).await });
+            fleet.nodes.push(KeeperNode { member, keeper, stop, task });
+        }
+        fleet.show(None);
+        fleet.settle(count).await;
+        fleet
+    }
+
+    /// Shows all owners to all nodes; `gone` is not reachable.
+    fn show(&self, gone: Option<&OwnerInfo>) {
+        let mut infos: Vec<_> = self.nodes.iter().map(|node| node.member.info()).collect();
+        infos.extend(gone.map(|info| OwnerInfo { reachable: false, ..info.clone() }));
+        let intent = Arc::new(self.shared.intent.lock().unwrap().clone());
+        for view in self.shared.views.lock().unwrap().iter() {
+            view.update(|view| {
+                view.intent = intent.clone();
+                view.owners = [(ServiceName::from("kettle"), infos.clone().into())].into();
+                view.fresh = true;
+            });
+        }
+    }
+
+    /// Waits until `count` nodes are keepers with complete ledgers.
+    async fn settle(&self, count: usize) {
+        eventually("the keeper set settles", || {
+            let intent = self.shared.intent.lock().unwrap();
+            let set = intent.keepers.get("kettle").cloned().unwrap_or_default();
+            let done = |node: &KeeperNode| node.member.node.keys().is_settled(set.epoch);
+            set.members.len() == count && set.leaving.is_empty() && self.nodes.iter().all(done)
+        })
+        .await;
+    }
+
+    fn runs(&self) -> usize {
+        self.nodes.iter().map(|node| node.member.upstream.record.runs()).sum()
+    }
+
+    async fn send(&self, node: usize, key: &str) -> Message {
+        let mut client = Client::connect(self.nodes[node].member.node.client_addr()).await;
+        let headers = [("idempotency-key", key), ("x-deadline-ms", "1500")];
+        client.send("POST", "/kettle/release", &headers, key.as_bytes()).await
+    }
+}
+
+/// Guards against a repeat that is run again, or answered otherwise than the first request.
+#[test]
+fn repeats_at_any_node_get_the_first_answer() {
+    block_on(async {
+        let fleet = Fleet::start(3).await;
+        for i in 0..20 {
+            let key = format!("order-{i}");
+            for node in 0..3 {
+                let answer = fleet.send(node, &key).await;
+                assert_eq!((answer.status(), answer.text()), (200, key.clone()), "{answer:?}");
+            }
+        }
+        assert_eq!(fleet.runs(), 20);
+    });
+}
+
+/// Guards against two requests with one key that arrive together and are both run.
+#[test]
+fn concurrent_repeats_run_once() {
+    block_on(async {
+        let fleet = Fleet::start(3).await;
+        let send = |node: usize| {
+            let address = fleet.nodes[node].member.node.client_addr();
+            task::spawn(async move {
+                let mut client = Client::connect(address).await;
+                let headers = [("idempotency-key", "order-1")];
+                client.send("POST", "/kettle/release?sleep=200", &headers, b"").await
+            })
+        };
+        let answers: Vec<_> = (0..9).map(|i| send(i % 3)).collect();
+        for answer in answers {
+            assert_eq!(answer.await.status(), 200);
+        }
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+/// Guards against a run that is cancelled with its client, whose repeat would then be in doubt.
+#[test]
+fn a_repeat_after_a_lost_client_gets_the_answer() {
+    block_on(async {
+        let fleet = Fleet::start(2).await;
+        let mut lost = Client::connect(fleet.nodes[0].member.node.client_addr()).await;
+        let request = b"POST /kettle/release?sleep=300 HTTP/1.1\r\nhost: n\r\n\
+                        idempotency-key: order-1\r\ncontent-length: 0\r\n\r\n";
+        let _ = timeout(Duration::from_millis(100), lost.raw(request)).await;
+        drop(lost);
+        let mut client = Client::connect(fleet.nodes[1].member.node.client_addr()).await;
+        let headers = [("idempotency-key", "order-1")];
+        let answer = client.send("POST", "/kettle/release?sleep=300", &headers, b"").await;
+        assert_eq!(answer.status(), 200, "{answer:?}");
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+/// Guards against repeats that run again or are in doubt after a planned stop of their keeper.
+#[test]
+fn a_planned_stop_hands_the_ledger_over() {
+    block_on(async {
+        let mut fleet = Fleet::start(3).await;
+        for i in 0..20 {
+            assert_eq!(fleet.send(0, &format!("order-{i}")).await.status(), 200);
+        }
+        let leaving = fleet.nodes.remove(2);
+        leaving.keeper.leave(&fleet.shared).await;
+        leaving.stop.close();
+        leaving.task.await;
+        let runs_there = leaving.member.upstream.record.runs();
+        fleet.show(None);
+        leaving.member.node.close().await;
+        fleet.settle(2).await;
+        for i in 0..20 {
+            let answer = fleet.send(i % 2, &format!("order-{i}")).await;
+            assert_eq!(answer.status(), 200, "order-{i}: {answer:?}");
+        }
+        assert_eq!(fleet.runs() + runs_there, 20);
+    });
+}
+
+/// Guards against a repeat that runs again after its keeper was lost with its ledger, and against
+/// a service that stays without a keeper for those keys.
+#[test]
+fn keys_of_a_lost_keeper_are_in_doubt_and_new_ones_run() {
+    block_on(async {
+        let mut fleet = Fleet::start(3).await;
+        for i in 0..20 {
+            assert_eq!(fleet.send(0, &format!("order-{i}")).await.status(), 200);
+        }
+        let lost = fleet.nodes.remove(2);
+        let info = lost.member.info();
+        let runs_there = lost.member.upstream.record.runs();
+        lost.stop.close();
+        lost.task.await;
+        // The node closes its ports without having left the keeper set, as after a crash.
+        lost.member.node.close().await;
+        fleet.show(Some(&info));
+        fleet.settle(2).await;
+        let mut in_doubt = 0;
+        for i in 0..20 {
+            let answer = fleet.send(i % 2, &format!("order-{i}")).await;
+            match answer.header("x-reason") {
+                "key-in-doubt" => in_doubt += 1,
+                _ => assert_eq!(answer.status(), 200, "order-{i}: {answer:?}"),
+            }
+        }
+        assert!(in_doubt > 0, "no key belonged to the lost keeper");
+        assert_eq!(fleet.runs() + runs_there, 20);
+        task::sleep(Duration::from_millis(600)).await;
+        for _ in 0..20 {
+            let answer = fleet.send(0, &Uuid::now_v7().to_string()).await;
+            assert_eq!(answer.status(), 200, "{answer:?}");
+        }
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests with real processes.
 
 mod dataplane;
+mod keyed;
