Stand-in upstream and store

Cause: the nodes need upstreams and a key-value store to run against, and the project uses no third-party servers. Both speak the interfaces of design section 14 and add the faults of the failure model. Ruled out: a plain tide listener, whose keep-alive answers take over 40 ms; an own accept loop sets TCP_NODELAY and sends head and body in one write.

--- /dev/null
+++ b/crates/standin/tests/upstream.rs
@@ -0,0 +1,187 @@
+//! Upstream interface of the design, section 14: answers, limits and the record.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use futures_util::future::join_all;
+use oleandertiller_standin::answer::is_own;
+use oleandertiller_standin::http::{Client, ClientReply};
+use oleandertiller_standin::{Upstream, UpstreamOptions};
+use serde_json::{Value, json};
+
+async fn start(options: UpstreamOptions) -> (Upstream, Client) {
+    let upstream = Upstream::start(options).await.unwrap();
+    let client = Client::connect(upstream.addr()).await.unwrap();
+    (upstream, client)
+}
+
+async fn call(client: &mut Client, id: &str, kind: &str, body: &[u8]) -> ClientReply {
+    client.call("POST", &format!("/{kind}"), &[("x-request-id", id)], body).await.unwrap()
+}
+
+async fn burst(upstream: &Upstream, kind: &'static str, count: usize) -> Vec<u16> {
+    let addr = upstream.addr();
+    let calls = (0..count).map(|n| async move {
+        let mut client = Client::connect(addr).await.unwrap();
+        call(&mut client, &format!("r{n}"), kind, b"").await.status()
+    });
+    join_all(calls).await
+}
+
+/// Guards against an answer without the echoed id or with a body of another request.
+#[test]
+fn answers_with_the_id_the_version_and_its_own_body() {
+    task::block_on(async {
+        let (upstream, mut client) = start(UpstreamOptions::new("kettle")).await;
+        for n in 0..20 {
+            let id = format!("id-{n}");
+            let reply = call(&mut client, &id, "temper", id.as_bytes()).await;
+            assert_eq!(reply.status(), 200);
+            assert_eq!(reply.header("x-request-id"), Some(id.as_str()));
+            assert_eq!(reply.header("x-upstream-version"), Some("v1"));
+            assert!(is_own(&id, id.as_bytes(), &reply.body));
+            assert!(!is_own("other", id.as_bytes(), &reply.body));
+            assert!(!is_own(&id, b"other", &reply.body));
+        }
+        upstream.close().await;
+    });
+}
+
+/// Guards against Nagle's algorithm together with delayed acknowledgements, which cost over 40 ms
+/// per keep-alive answer.
+#[test]
+fn keep_alive_answers_are_not_held_back() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.behaviour.other_ms = 0.0;
+        let (upstream, mut client) = start(options).await;
+        call(&mut client, "first", "none", b"body").await;
+        let mut times = Vec::new();
+        for n in 0..50 {
+            let start = Instant::now();
+            call(&mut client, &n.to_string(), "none", b"body").await;
+            times.push(start.elapsed());
+        }
+        times.sort();
+        assert!(times[25] < Duration::from_millis(20), "median {:?}", times[25]);
+        upstream.close().await;
+    });
+}
+
+/// Guards against more work at once than there are slots: 12 calls of 50 ms on 3 slots need at
+/// least 4 rounds.
+#[test]
+fn queues_above_its_slots() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.slots = 3;
+        options.behaviour.sigma = 0.0;
+        options.behaviour.other_ms = 50.0;
+        let (upstream, _client) = start(options).await;
+        let start = Instant::now();
+        let statuses = burst(&upstream, "slow", 12).await;
+        assert!(statuses.iter().all(|status| *status == 200));
+        assert!(start.elapsed() >= Duration::from_millis(200), "{:?}", start.elapsed());
+        assert_eq!(upstream.record().max_in_flight, 12);
+        upstream.close().await;
+    });
+}
+
+/// Guards against work that goes on after its client is gone, and a cancelled request in the queue
+/// that is counted as run.
+#[test]
+fn closed_connection_cancels_the_request() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.slots = 1;
+        options.behaviour.other_ms = 5_000.0;
+        let (upstream, client) = start(options).await;
+        let addr = upstream.addr();
+        let running = task::spawn(async move { call(&mut { client }, "a", "slow", b"").await });
+        task::sleep(Duration::from_millis(100)).await;
+        let queued = task::spawn(async move {
+            let mut client = Client::connect(addr).await.unwrap();
+            call(&mut client, "b", "slow", b"").await
+        });
+        task::sleep(Duration::from_millis(100)).await;
+        queued.cancel().await;
+        running.cancel().await;
+        task::sleep(Duration::from_millis(200)).await;
+        let record = upstream.record();
+        assert_eq!((record.cancelled, record.run, record.succeeded), (2, 1, 0));
+        assert!(!record.requests.contains_key("b"));
+        upstream.close().await;
+    });
+}
+
+/// Guards against a deadline that is ignored in the queue or at work.
+#[test]
+fn stops_at_the_deadline() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.behaviour.other_ms = 5_000.0;
+        let (upstream, mut client) = start(options).await;
+        let headers = [("x-request-id", "a"), ("x-deadline-ms", "100")];
+        let start = Instant::now();
+        let reply = client.call("GET", "/slow", &headers, &[]).await.unwrap();
+        assert_eq!(reply.status(), 504);
+        assert_eq!(reply.header("x-outcome"), None, "it was run, so nothing says otherwise");
+        assert!(start.elapsed() < Duration::from_secs(2));
+        assert_eq!(upstream.record().expired, 1);
+        upstream.close().await;
+    });
+}
+
+/// Guards against a record that misses a second run of the same key.
+#[test]
+fn records_runs_by_key() {
+    task::block_on(async {
+        let (upstream, mut client) = start(UpstreamOptions::new("recipe")).await;
+        for (id, key) in [("a", "k1"), ("b", "k1"), ("c", "k2")] {
+            let headers = [("x-request-id", id), ("idempotency-key", key)];
+            client.call("POST", "/release", &headers, b"5 kg").await.unwrap();
+        }
+        let reply = client.call("GET", "/admin/record", &[], &[]).await.unwrap();
+        let record: Value = serde_json::from_slice(&reply.body).unwrap();
+        assert_eq!(record["keys"], json!({"k1": 2, "k2": 1}));
+        assert_eq!(record["requests"], json!({"a": 1, "b": 1, "c": 1}));
+        assert_eq!(upstream.record().repeated_keys(), [("k1".to_owned(), 2)].into());
+        upstream.close().await;
+    });
+}
+
+/// Guards against a connection limit that is not applied.
+#[test]
+fn closes_connections_above_the_limit() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.behaviour.max_connections = 2;
+        let (upstream, mut first) = start(options).await;
+        call(&mut first, "a", "temper", b"").await;
+        let mut second = Client::connect(upstream.addr()).await.unwrap();
+        call(&mut second, "b", "temper", b"").await;
+        let mut third = Client::connect(upstream.addr()).await.unwrap();
+        let refused = third.call("GET", "/temper", &[("x-request-id", "c")], &[]).await;
+        assert!(refused.is_err());
+        assert_eq!(upstream.record().refused_connections, 1);
+        upstream.close().await;
+    });
+}
+
+/// Guards against a log-normal distribution whose location is taken for its mean.
+#[test]
+fn service_times_follow_the_stated_mean() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.behaviour.service_ms.insert("temper".into(), 5.0);
+        let (upstream, mut client) = start(options).await;
+        let start = Instant::now();
+        for n in 0..100 {
+            call(&mut client, &n.to_string(), "temper", b"").await;
+        }
+        // 100 draws of mean 5 ms and relative deviation 0.42 lie within 400 and 600 ms by over
+        // 4 standard deviations; the time of the calls themselves only adds.
+        assert!(start.elapsed() >= Duration::from_millis(400), "{:?}", start.elapsed());
+        upstream.close().await;
+    });
+}
