Stand-in proxy for TCP and UDP faults

Cause: delays between zones, partitions and half-open connections have to be tested on loopback without tools of the system. Ruled out: discarding bytes of a TCP stream for a one-way loss, since a stream that goes on after a gap is corrupt, which no network does; bytes are held and forwarded when the fault ends. Ruled out: resets by closing with unread data, which depends on timing; SO_LINGER of 0 from socket2, already in the lock file, is certain.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod answer;
 pub mod http;
+pub mod proxy;
 pub mod store;
 pub mod upstream;
 
+pub use proxy::{Proxy, ProxyFaults, ProxyOptions};
 pub use store::{Store, StoreFaults, StoreOptions};
 pub use upstream::{Behaviour, Record, Upstream, UpstreamOptions};
