Load generator, `bench path` and `bench compare`

Cause: latency, CPU per call and the selection policies have to be measured by a seeded open-loop load, paired in one run, over real processes. Ruled out: a task that sleeps for each arrival, since its executor is busy with answers; a thread of its own makes the arrivals, and its lateness is recorded beside the latencies that contain it. Ruled out: a client that waits for an answer before the next request; it sends less to a stalled server and so hides the stall. Not run: anything with nodes; their program does not exist yet.

--- /dev/null
+++ b/crates/bench/src/cmd/path/result.rs
@@ -0,0 +1,158 @@
+//! Result file of `bench path` and its print.
+
+use std::collections::BTreeMap;
+
+use oleandertiller_bench::stats::{Quantiles, Summary};
+use serde::{Deserialize, Serialize};
+
+/// Stated target: latency that the two nodes add for 99 in 100 calls, in milliseconds.
+const ADDED_P99_TARGET_MS: f64 = 0.48;
+
+/// A whole result file.
+#[derive(Serialize, Deserialize)]
+pub struct PathResult {
+    seed: u64,
+    service_ms: f64,
+    threads: usize,
+    /// Results by rate.
+    pub rates: Vec<RateResult>,
+    /// Memory by process.
+    pub memory: Vec<Memory>,
+}
+
+/// Results at one rate.
+#[derive(Serialize, Deserialize)]
+pub struct RateResult {
+    rate: f64,
+    direct: Arm,
+    through: Option<Arm>,
+    added: Option<Added>,
+}
+
+/// One path.
+#[derive(Serialize, Deserialize)]
+pub struct Arm {
+    /// What the clients saw.
+    pub summary: Summary,
+    /// CPU time per call by process, in microseconds.
+    pub cpu_us_per_call: BTreeMap<String, f64>,
+}
+
+/// Difference of the quantiles of both paths, in milliseconds.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+struct Added {
+    p50: f64,
+    p99: f64,
+    p999: f64,
+}
+
+/// Resident memory of a process in bytes.
+#[derive(Serialize, Deserialize)]
+pub struct Memory {
+    process: String,
+    idle: u64,
+    loaded: u64,
+}
+
+impl Memory {
+    /// Joins the memory before and after the load.
+    pub fn pair(idle: &BTreeMap<String, u64>, loaded: &BTreeMap<String, u64>) -> Vec<Self> {
+        let both = idle.iter().filter_map(|(process, idle)| {
+            let loaded = *loaded.get(process)?;
+            Some(Self { process: process.clone(), idle: *idle, loaded })
+        });
+        both.collect()
+    }
+}
+
+impl RateResult {
+    /// Creates the result and computes the added latency.
+    pub fn new(rate: f64, direct: Arm, through: Option<Arm>) -> Self {
+        let added = through.as_ref().map(|through| {
+            let (ours, base) = (through.summary.latency, direct.summary.latency);
+            let (p50, p99, p999) =
+                (ours.p50 - base.p50, ours.p99 - base.p99, ours.p999 - base.p999);
+            Added { p50, p99, p999 }
+        });
+        Self { rate, direct, through, added }
+    }
+
+    /// Prints the result.
+    pub fn print(&self) {
+        println!("{} calls/s", self.rate);
+        self.direct.print("direct");
+        if let Some(through) = &self.through {
+            through.print("two nodes");
+        }
+        if let Some(added) = self.added {
+            println!(
+                "  added      p50 {:8.3}  p99 {:8.3}  p99.9 {:8.3} ms (target p99 {} ms)",
+                added.p50, added.p99, added.p999, ADDED_P99_TARGET_MS,
+            );
+        }
+    }
+}
+
+impl Arm {
+    fn print(&self, name: &str) {
+        let Quantiles { p50, p99, p999, max, count } = self.summary.latency;
+        println!(
+            "  {name:10} p50 {p50:8.3}  p99 {p99:8.3}  p99.9 {p999:8.3}  max {max:8.3} ms, \
+             {count} of {} calls correct",
+            self.summary.offered,
+        );
+        let late = self.summary.lateness;
+        println!("    generator late by p50 {:.3}  p99 {:.3} ms, included", late.p50, late.p99);
+        for (process, micros) in &self.cpu_us_per_call {
+            println!("    CPU of {process}: {micros:.1} us per call");
+        }
+        for (kind, summary) in &self.summary.kinds {
+            for (outcome, count) in summary.counts.iter().filter(|(name, _)| *name != "done") {
+                println!("    {kind} {outcome}: {count}");
+            }
+        }
+    }
+}
+
+impl PathResult {
+    /// Creates a result without measurements.
+    pub fn new(seed: u64, service_ms: f64, threads: usize) -> Self {
+        Self { seed, service_ms, threads, rates: Vec::new(), memory: Vec::new() }
+    }
+
+    /// Prints the memory of the processes.
+    pub fn print_memory(&self) {
+        let mib = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+        for memory in &self.memory {
+            let (idle, loaded) = (mib(memory.idle), mib(memory.loaded));
+            println!("memory of {}: idle {idle:.1} MiB, loaded {loaded:.1} MiB", memory.process);
+        }
+    }
+
+    /// Prints the change against an earlier result.
+    pub fn print_against(&self, earlier: &Self) {
+        if (self.service_ms, self.threads) != (earlier.service_ms, earlier.threads) {
+            println!("the earlier run has another service time or number of threads");
+        }
+        for now in &self.rates {
+            let Some(then) = earlier.rates.iter().find(|then| then.rate == now.rate) else {
+                continue;
+            };
+            println!("against the earlier run at {} calls/s", now.rate);
+            print_change(
+                "direct p99",
+                then.direct.summary.latency.p99,
+                now.direct.summary.latency.p99,
+            );
+            if let (Some(then), Some(now)) = (then.added, now.added) {
+                print_change("added p50", then.p50, now.p50);
+                print_change("added p99", then.p99, now.p99);
+                print_change("added p99.9", then.p999, now.p999);
+            }
+        }
+    }
+}
+
+fn print_change(name: &str, then: f64, now: f64) {
+    println!("  {name:12} {then:8.3} -> {now:8.3} ms ({:+.3})", now - then);
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,36 @@
 //! Command line of the load and experiment tool.
 
-fn main() {}
+mod cmd;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Load and experiment tool for oleandertiller.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Compare(cmd::compare::Compare),
+    Path(cmd::path::PathArgs),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let done = match args.command {
+        Command::Compare(args) => cmd::compare::run(&args),
+        Command::Path(args) => cmd::path::run(&args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("bench: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,143 @@
+//! Child processes, their readiness and what they use.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Clock ticks per second of `/proc/<pid>/stat`; the kernel reports 100 to programs on all
+/// common platforms.
+const TICKS_PER_S: f64 = 100.0;
+
+/// A process that ends when it is dropped.
+pub struct Process {
+    child: Child,
+    /// Name for reports.
+    pub name: String,
+}
+
+impl Process {
+    /// Starts a program with the given number of executor threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the start, with the path of the program.
+    pub fn start(name: &str, program: &Path, args: &[String], threads: usize) -> io::Result<Self> {
+        Self::spawn(name, program, args, threads, Stdio::null())
+    }
+
+    /// Starts a stand-in and waits for its line `ready <addresses>`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the start, or an error when the first line is another one.
+    pub fn start_standin(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        threads: usize,
+    ) -> io::Result<(Self, Vec<SocketAddr>)> {
+        let mut process = Self::spawn(name, program, args, threads, Stdio::piped())?;
+        let mut line = String::new();
+        if let Some(out) = process.child.stdout.take() {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        let mut words = line.split_whitespace();
+        let ready = words.next() == Some("ready");
+        let addrs: Vec<_> = words.filter_map(|word| word.parse().ok()).collect();
+        if !ready || addrs.is_empty() {
+            return Err(io::Error::other(format!("{name} did not get ready: {line:?}")));
+        }
+        Ok((process, addrs))
+    }
+
+    fn spawn(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        threads: usize,
+        out: Stdio,
+    ) -> io::Result<Self> {
+        let mut command = Command::new(program);
+        command.args(args).env("ASYNC_STD_THREAD_COUNT", threads.to_string());
+        let child = command.stdin(Stdio::null()).stdout(out).spawn();
+        let child = child
+            .map_err(|e| io::Error::new(e.kind(), format!("cannot start {program:?}: {e}")))?;
+        Ok(Self { child, name: name.to_owned() })
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the CPU time that a process has used.
+pub fn cpu_time(pid: u32) -> Option<Duration> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name of the program may contain spaces; it ends at the last parenthesis.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    Some(Duration::from_secs_f64(ticks / TICKS_PER_S))
+}
+
+/// Returns the resident memory of a process in bytes.
+pub fn resident_bytes(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kib * 1_024)
+}
+
+/// Returns the path of a program that lies beside this one.
+///
+/// # Errors
+///
+/// Returns an error that says how to build it.
+pub fn beside(program: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut dir = own.parent().unwrap_or(Path::new(".")).to_owned();
+    // Tests run in `deps`, one level below the programs.
+    if dir.file_name().is_some_and(|name| name == "deps") {
+        dir.pop();
+    }
+    let path = dir.join(program);
+    if path.is_file() {
+        return Ok(path);
+    }
+    let help = format!("{program} is not beside bench; build it with `cargo build --workspace`");
+    Err(io::Error::new(io::ErrorKind::NotFound, help))
+}
+
+/// Returns loopback addresses whose ports are free for both TCP and UDP.
+///
+/// # Errors
+///
+/// Returns the error of a bind.
+pub fn free_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    // All are held until the last is found, so that no port is returned twice.
+    let mut held = Vec::new();
+    while held.len() < count {
+        let listener = TcpListener::bind(any)?;
+        let addr = listener.local_addr()?;
+        if let Ok(udp) = UdpSocket::bind(addr) {
+            held.push((listener, udp, addr));
+        }
+    }
+    Ok(held.iter().map(|(_, _, addr)| *addr).collect())
+}
--- /dev/null
+++ b/crates/bench/src/stats.rs
@@ -0,0 +1,285 @@
+//! Counts and latencies of a run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::workload::LoadKind;
+
+/// Longest latency recorded; longer ones are recorded as this.
+const LATENCY_MAX_US: u64 = 120_000_000;
+
+/// How a request ended, as its client saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// A whole answer of its own.
+    Done,
+    /// An error answer by the upstream; the reason is the status.
+    Failed(String),
+    /// An answer that says that the request was not run.
+    NotRun(String),
+    /// An answer that leaves it open, a broken connection, or no answer in time.
+    Unknown(String),
+    /// An answer that belongs to another request or is not whole.
+    Wrong(String),
+}
+
+impl Ended {
+    fn label(&self) -> (&'static str, &str) {
+        match self {
+            Self::Done => ("done", ""),
+            Self::Failed(reason) => ("failed", reason),
+            Self::NotRun(reason) => ("not-run", reason),
+            Self::Unknown(reason) => ("unknown", reason),
+            Self::Wrong(reason) => ("wrong", reason),
+        }
+    }
+}
+
+/// Creates an empty latency histogram in microseconds.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("constant bounds are valid")
+}
+
+/// Records a latency.
+pub fn record(histogram: &mut Histogram<u64>, latency: Duration) {
+    histogram.saturating_record((latency.as_micros() as u64).clamp(1, LATENCY_MAX_US));
+}
+
+/// Results of one kind.
+#[derive(Clone, Debug)]
+pub struct KindStats {
+    /// Requests offered, each counted once whatever its repeats.
+    pub offered: u64,
+    /// Whole own answers within the deadline.
+    pub good: u64,
+    /// Requests sent again by the client.
+    pub repeats: u64,
+    /// Counts by outcome and reason.
+    pub counts: BTreeMap<String, u64>,
+    /// Latency of whole own answers from their intended start, in microseconds.
+    pub latency: Histogram<u64>,
+    /// Weight of a correct answer.
+    pub weight: u32,
+}
+
+/// Results of a run.
+#[derive(Clone, Debug)]
+pub struct Stats {
+    /// Results by service and kind.
+    pub kinds: BTreeMap<String, KindStats>,
+    /// Delay between the intended start and the moment the generator began a request, in
+    /// microseconds. It is part of every latency.
+    pub lateness: Histogram<u64>,
+    /// Weighted good answers by second of their intended start.
+    pub good_by_second: BTreeMap<u64, u64>,
+    /// Weighted requests offered by second.
+    pub offered_by_second: BTreeMap<u64, u64>,
+}
+
+/// One ended request.
+pub struct Sample<'a> {
+    /// Its kind.
+    pub kind: &'a LoadKind,
+    /// Intended start after the start of the run.
+    pub at: Duration,
+    /// Delay of the generator.
+    pub lateness: Duration,
+    /// Time from the intended start to the end.
+    pub latency: Duration,
+    /// Repeats sent by the client.
+    pub repeats: u64,
+    /// How it ended.
+    pub ended: Ended,
+}
+
+impl Stats {
+    /// Creates empty results.
+    pub fn new() -> Self {
+        Self {
+            kinds: BTreeMap::new(),
+            lateness: histogram(),
+            good_by_second: BTreeMap::new(),
+            offered_by_second: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an ended request.
+    pub fn add(&mut self, sample: Sample<'_>) {
+        let kind = self.kind(sample.kind);
+        let good = sample.ended == Ended::Done && sample.latency <= sample.kind.deadline;
+        kind.offered += 1;
+        kind.good += u64::from(good);
+        kind.repeats += sample.repeats;
+        let (outcome, reason) = sample.ended.label();
+        let label = if reason.is_empty() { outcome.into() } else { format!("{outcome} {reason}") };
+        *kind.counts.entry(label).or_default() += 1;
+        if sample.ended == Ended::Done {
+            record(&mut kind.latency, sample.latency);
+        }
+        record(&mut self.lateness, sample.lateness);
+        let (second, weight) = (sample.at.as_secs(), u64::from(sample.kind.weight));
+        *self.offered_by_second.entry(second).or_default() += weight;
+        *self.good_by_second.entry(second).or_default() += weight * u64::from(good);
+    }
+
+    fn kind(&mut self, kind: &LoadKind) -> &mut KindStats {
+        let name = format!("{}/{}", kind.service, kind.kind);
+        self.kinds.entry(name).or_insert_with(|| KindStats {
+            offered: 0,
+            good: 0,
+            repeats: 0,
+            counts: BTreeMap::new(),
+            latency: histogram(),
+            weight: kind.weight,
+        })
+    }
+
+    /// Adds the results of another run.
+    pub fn merge(&mut self, other: Self) {
+        for (name, theirs) in other.kinds {
+            match self.kinds.get_mut(&name) {
+                Some(ours) => ours.merge(theirs),
+                None => {
+                    self.kinds.insert(name, theirs);
+                }
+            }
+        }
+        self.lateness.add(other.lateness).expect("histograms have equal bounds");
+        add_counts(&mut self.good_by_second, other.good_by_second);
+        add_counts(&mut self.offered_by_second, other.offered_by_second);
+    }
+
+    /// Returns the latency of all kinds.
+    pub fn latency(&self) -> Histogram<u64> {
+        let mut all = histogram();
+        for kind in self.kinds.values() {
+            all.add(&kind.latency).expect("histograms have equal bounds");
+        }
+        all
+    }
+
+    /// Returns the number of requests offered.
+    pub fn offered(&self) -> u64 {
+        self.kinds.values().map(|kind| kind.offered).sum()
+    }
+
+    /// Returns the weighted share of requests that got a correct answer within the deadline.
+    pub fn goodput(&self) -> f64 {
+        let weighted = |count: fn(&KindStats) -> u64| -> f64 {
+            self.kinds.values().map(|kind| (count(kind) * u64::from(kind.weight)) as f64).sum()
+        };
+        weighted(|kind| kind.good) / weighted(|kind| kind.offered).max(1.0)
+    }
+
+    /// Returns the number of requests with an outcome.
+    pub fn count(&self, outcome: &str) -> u64 {
+        let counts = self.kinds.values().flat_map(|kind| &kind.counts);
+        let matching = counts.filter(|(label, _)| label.split(' ').next() == Some(outcome));
+        matching.map(|(_, count)| count).sum()
+    }
+
+    /// Returns a summary for result files.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            offered: self.offered(),
+            goodput: self.goodput(),
+            latency: Quantiles::of(&self.latency()),
+            lateness: Quantiles::of(&self.lateness),
+            kinds: self.kinds.iter().map(|(name, kind)| (name.clone(), kind.summary())).collect(),
+        }
+    }
+}
+
+impl Default for Stats {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl KindStats {
+    fn merge(&mut self, other: Self) {
+        self.offered += other.offered;
+        self.good += other.good;
+        self.repeats += other.repeats;
+        add_counts(&mut self.counts, other.counts);
+        self.latency.add(other.latency).expect("histograms have equal bounds");
+    }
+
+    fn summary(&self) -> KindSummary {
+        KindSummary {
+            offered: self.offered,
+            good: self.good,
+            repeats: self.repeats,
+            counts: self.counts.clone(),
+            latency: Quantiles::of(&self.latency),
+        }
+    }
+}
+
+fn add_counts<K: Ord>(to: &mut BTreeMap<K, u64>, from: BTreeMap<K, u64>) {
+    for (key, count) in from {
+        *to.entry(key).or_default() += count;
+    }
+}
+
+/// Quantiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// Half.
+    pub p50: f64,
+    /// 99 in 100.
+    pub p99: f64,
+    /// 999 in 1,000.
+    pub p999: f64,
+    /// Largest.
+    pub max: f64,
+    /// Number of values.
+    pub count: u64,
+}
+
+impl Quantiles {
+    /// Reads the quantiles of a histogram in microseconds.
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        Self {
+            p50: ms(0.5),
+            p99: ms(0.99),
+            p999: ms(0.999),
+            max: histogram.max() as f64 / 1_000.0,
+            count: histogram.len(),
+        }
+    }
+}
+
+/// Results of a run in a result file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Summary {
+    /// Requests offered.
+    pub offered: u64,
+    /// Weighted share of correct answers within the deadline.
+    pub goodput: f64,
+    /// Latency of correct answers.
+    pub latency: Quantiles,
+    /// Delay of the generator.
+    pub lateness: Quantiles,
+    /// Results by service and kind.
+    pub kinds: BTreeMap<String, KindSummary>,
+}
+
+/// Results of one kind in a result file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct KindSummary {
+    /// Requests offered.
+    pub offered: u64,
+    /// Correct answers within the deadline.
+    pub good: u64,
+    /// Requests sent again by the client.
+    pub repeats: u64,
+    /// Counts by outcome and reason.
+    pub counts: BTreeMap<String, u64>,
+    /// Latency of correct answers.
+    pub latency: Quantiles,
+}
--- /dev/null
+++ b/crates/bench/src/workload.rs
@@ -0,0 +1,122 @@
+//! Request kinds of both deployments, with their shares and weights.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// One request kind under load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadKind {
+    /// Service that answers it.
+    pub service: &'static str,
+    /// Name of the kind.
+    pub kind: &'static str,
+    /// Share of the arrivals, relative to the other kinds.
+    pub share: u32,
+    /// Weight of a correct answer.
+    pub weight: u32,
+    /// Whether it must run at most once; sent with an `Idempotency-Key`.
+    pub at_most_once: bool,
+    /// Time that the client allows.
+    pub deadline: Duration,
+}
+
+impl LoadKind {
+    const fn new(
+        service: &'static str,
+        kind: &'static str,
+        share: u32,
+        weight: u32,
+        deadline_ms: u64,
+    ) -> Self {
+        let deadline = Duration::from_millis(deadline_ms);
+        Self { service, kind, share, weight, at_most_once: false, deadline }
+    }
+
+    const fn at_most_once(mut self) -> Self {
+        self.at_most_once = true;
+        self
+    }
+}
+
+const TUUL: [LoadKind; 4] = [
+    LoadKind::new("kettle", "temper", 50, 10, 250),
+    LoadKind::new("kettle", "status", 25, 3, 500),
+    LoadKind::new("recipe", "lookup", 15, 2, 500),
+    LoadKind::new("recipe", "release", 10, 8, 1_000).at_most_once(),
+];
+
+const TRUNKWORKS: [LoadKind; 4] = [
+    LoadKind::new("lending", "browse", 45, 2, 500),
+    LoadKind::new("lending", "book", 10, 8, 1_000).at_most_once(),
+    LoadKind::new("stock", "wear", 10, 1, 2_000),
+    LoadKind::new("stock", "dates", 35, 4, 500),
+];
+
+/// A deployment of the design, section 1.1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Deployment {
+    /// Tuul Municipal Confectionery Works.
+    Tuul,
+    /// Trunkworks Costume Commons.
+    Trunkworks,
+}
+
+/// Servers of one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceSize {
+    /// Name of the service.
+    pub service: &'static str,
+    /// Number of servers.
+    pub servers: usize,
+    /// Slots of each server.
+    pub slots: u32,
+}
+
+impl Deployment {
+    /// Returns the kinds that clients call.
+    pub fn kinds(self) -> &'static [LoadKind] {
+        match self {
+            Self::Tuul => &TUUL,
+            Self::Trunkworks => &TRUNKWORKS,
+        }
+    }
+
+    /// Returns the kinds that only services call.
+    pub fn internal_kinds(self) -> &'static [(&'static str, &'static str)] {
+        match self {
+            Self::Tuul => &[("kettle", "calibrate")],
+            Self::Trunkworks => &[("stock", "size")],
+        }
+    }
+
+    /// Returns the zones.
+    pub fn zones(self) -> [&'static str; 3] {
+        match self {
+            Self::Tuul => ["bayangol", "sukhbaatar", "khan-uul"],
+            Self::Trunkworks => ["shore-one", "shore-two", "shore-three"],
+        }
+    }
+
+    /// Returns the services with their servers.
+    pub fn services(self) -> [ServiceSize; 2] {
+        let size = |service, servers, slots| ServiceSize { service, servers, slots };
+        match self {
+            Self::Tuul => [size("recipe", 4, 6), size("kettle", 4, 6)],
+            Self::Trunkworks => [size("lending", 7, 12), size("stock", 5, 12)],
+        }
+    }
+}
+
+impl std::str::FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "tuul" => Ok(Self::Tuul),
+            "trunkworks" => Ok(Self::Trunkworks),
+            _ => Err(format!("`{text}` is not a deployment; expected tuul or trunkworks")),
+        }
+    }
+}
