Count failed requests in the tail of `bench compare`

Conclusion: `latency_all` counts a request without a correct answer as its deadline at least; both figures are printed and stored.

--- a/crates/bench/src/cmd/compare.rs
+++ b/crates/bench/src/cmd/compare.rs
@@ -211,8 +211,8 @@
         );
         for (kind, summary) in &self.summary.kinds {
             println!(
-                "  {kind:16} p99 {:8.2} ms, {} of {} good",
-                summary.latency.p99, summary.good, summary.offered,
+                "  {kind:16} p99 of all {:8.2} ms, of correct answers {:8.2} ms, {} of {} good",
+                summary.latency_all.p99, summary.latency.p99, summary.good, summary.offered,
             );
             for (outcome, count) in summary.counts.iter().filter(|(name, _)| *name != "done") {
                 println!("    {outcome}: {count}");
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -61,6 +61,9 @@
     pub counts: BTreeMap<String, u64>,
     /// Latency of whole own answers from their intended start, in microseconds.
     pub latency: Histogram<u64>,
+    /// Latency of all requests, one without a correct answer counted as its deadline at least.
+    /// Without these, a policy that fails its slow requests would show the shorter tail.
+    pub latency_all: Histogram<u64>,
     /// Weight of a correct answer.
     pub weight: u32,
 }
@@ -118,6 +121,9 @@
         *kind.counts.entry(label).or_default() += 1;
         if sample.ended == Ended::Done {
             record(&mut kind.latency, sample.latency);
+            record(&mut kind.latency_all, sample.latency);
+        } else {
+            record(&mut kind.latency_all, sample.latency.max(sample.kind.deadline));
         }
         record(&mut self.lateness, sample.lateness);
         let (second, weight) = (sample.at.as_secs(), u64::from(sample.kind.weight));
@@ -133,6 +139,7 @@
             repeats: 0,
             counts: BTreeMap::new(),
             latency: histogram(),
+            latency_all: histogram(),
             weight: kind.weight,
         })
     }
@@ -206,6 +213,7 @@
         self.repeats += other.repeats;
         add_counts(&mut self.counts, other.counts);
         self.latency.add(other.latency).expect("histograms have equal bounds");
+        self.latency_all.add(other.latency_all).expect("histograms have equal bounds");
     }
 
     fn summary(&self) -> KindSummary {
@@ -215,6 +223,7 @@
             repeats: self.repeats,
             counts: self.counts.clone(),
             latency: Quantiles::of(&self.latency),
+            latency_all: Quantiles::of(&self.latency_all),
         }
     }
 }
@@ -282,4 +291,6 @@
     pub counts: BTreeMap<String, u64>,
     /// Latency of correct answers.
     pub latency: Quantiles,
+    /// Latency of all requests, one without a correct answer counted as its deadline at least.
+    pub latency_all: Quantiles,
 }
--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -101,6 +101,21 @@
     assert_eq!(id.goodput(), 0.0);
 }
 
+/// Guards against a tail that looks shorter because failed requests are left out of it.
+#[test]
+fn failed_requests_count_as_their_deadline() {
+    let upstream = upstream(|options| options.behaviour.fail_share = 0.5);
+    let to = route("kettle", vec![upstream.addr()], ClientPolicy::Random);
+    let stats = load::run(Plan::new(1, 200.0, SECOND, kind("temper"), to));
+    let temper = &stats.kinds["kettle/temper"];
+    assert_eq!(temper.latency_all.len(), temper.offered);
+    assert_eq!(temper.latency.len(), temper.good);
+    let deadline = kind("temper")[0].deadline.as_micros() as u64;
+    // The histogram keeps three significant digits.
+    assert!(temper.latency_all.value_at_quantile(0.99) >= deadline * 999 / 1_000);
+    task::block_on(upstream.close());
+}
+
 /// Guards against refusals that are mixed up with unknown outcomes.
 #[test]
 fn outcomes_and_reasons_are_told_apart() {
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -132,6 +132,47 @@
     });
 }
 
+/// Guards against a request that expires in the queue and is run or reported as run all the same.
+#[test]
+fn deadline_in_the_queue_is_not_run() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.slots = 1;
+        options.behaviour.sigma = 0.0;
+        options.behaviour.other_ms = 500.0;
+        let (upstream, client) = start(options).await;
+        let running = task::spawn(async move { call(&mut { client }, "a", "slow", b"").await });
+        task::sleep(Duration::from_millis(100)).await;
+        let mut client = Client::connect(upstream.addr()).await.unwrap();
+        let headers = [("x-request-id", "b"), ("x-deadline-ms", "100")];
+        let expired = client.call("GET", "/slow", &headers, &[]).await.unwrap();
+        assert_eq!((expired.status(), expired.header("x-outcome")), (504, Some("not-run")));
+        assert_eq!(running.await.status(), 200);
+        task::sleep(Duration::from_millis(100)).await;
+        let record = upstream.record();
+        assert_eq!((record.run, record.expired), (1, 1));
+        assert!(!record.requests.contains_key("b"));
+        upstream.close().await;
+    });
+}
+
+/// Guards against a queue without a bound.
+#[test]
+fn sheds_above_its_queue_limit() {
+    task::block_on(async {
+        let mut options = UpstreamOptions::new("kettle");
+        options.slots = 1;
+        options.behaviour.other_ms = 200.0;
+        options.behaviour.queue_limit = 2;
+        let (upstream, _client) = start(options).await;
+        let statuses = burst(&upstream, "slow", 6).await;
+        assert_eq!(statuses.iter().filter(|status| **status == 503).count(), 3);
+        let record = upstream.record();
+        assert_eq!((record.shed, record.run), (3, 3));
+        upstream.close().await;
+    });
+}
+
 /// Guards against a record that misses a second run of the same key.
 #[test]
 fn records_runs_by_key() {
