--- a/crates/bench/src/checks.rs
+++ b/crates/bench/src/checks.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What the upstreams ran that they must not have run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Checks {
     /// Idempotency keys that ran more than once, at one upstream or at several.
     pub run_twice: u64,
--- a/crates/bench/src/cmd/path/result.rs
+++ b/crates/bench/src/cmd/path/result.rs
@@ -45,7 +45,8 @@
 }
 
 /// Latency that one path adds over another, in milliseconds.
-#[derive(Clone, Copy, Serialize, Deserialize)]
+#[derive(Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 struct Added {
     p50: f64,
     p99: f64,
--- a/crates/bench/src/load/route.rs
+++ b/crates/bench/src/load/route.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Selection by the client itself, the baselines for runs without nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ClientPolicy {
     /// Uniformly at random.
--- a/crates/bench/src/stats.rs
+++ b/crates/bench/src/stats.rs
@@ -235,7 +235,8 @@
 }
 
 /// Quantiles in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Quantiles {
     /// Half.
     pub p50: f64,
@@ -264,7 +265,8 @@
 }
 
 /// Results of a run in a result file.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Summary {
     /// Requests offered.
     pub offered: u64,
@@ -279,7 +281,8 @@
 }
 
 /// Results of one kind in a result file.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct KindSummary {
     /// Requests offered.
     pub offered: u64,
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -54,7 +54,8 @@
 ];
 
 /// A deployment of the design, section 1.1.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Deployment {
     /// Tuul Municipal Confectionery Works.
--- a/crates/standin/src/proxy/faults.rs
+++ b/crates/standin/src/proxy/faults.rs
@@ -10,7 +10,8 @@
 use serde_json::{Map, Value};
 
 /// Faults in force, the body of `POST /admin/faults`; a field left out is unchanged.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ProxyFaults {
     /// Closes connections, also new ones, and drops all datagrams.
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -8,7 +8,8 @@
 use serde_json::Value;
 
 /// Calls received, refused ones included.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stats {
     /// Reads of a key or a prefix.
     pub reads: u64,
@@ -21,7 +22,8 @@
 }
 
 /// One key of a prefix read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Item {
     pub key: String,
     pub version: u64,
--- a/crates/standin/src/store/faults.rs
+++ b/crates/standin/src/store/faults.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How the store is down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DownMode {
     /// Connections are refused.
@@ -14,7 +15,8 @@
 }
 
 /// Faults in force, the body of `POST /admin/faults`; a field left out is unchanged.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StoreFaults {
     /// Whether the store is down.
--- a/crates/standin/src/upstream/behaviour.rs
+++ b/crates/standin/src/upstream/behaviour.rs
@@ -20,7 +20,8 @@
 ];
 
 /// How an upstream behaves.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Behaviour {
     /// Connections kept open; further ones are closed at once.
@@ -124,7 +125,8 @@
 }
 
 /// Cold start: a low bearable number in flight that grows to the slots.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Cold {
     /// Requests in flight that it can handle when entirely cold.
@@ -146,7 +148,8 @@
 }
 
 /// Fault of a bad version. It acts while every condition that is set holds.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Bad {
     /// Time from the setting of the fault to its beginning.
@@ -168,7 +171,8 @@
 }
 
 /// How a report endpoint misleads.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ReportFault {
     /// Age of the state that it reports.
@@ -186,7 +190,8 @@
 }
 
 /// Pauses in which no request makes progress.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Pauses {
     /// Interval from the start of one pause to the next.
@@ -196,7 +201,8 @@
 }
 
 /// A call to another service while a request is being served.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Nested {
     /// Kind of the request that makes the call.
@@ -236,7 +242,8 @@
 }
 
 /// Whether an upstream that turns cold says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum TurnCold {
     /// As after a restart: new instance id and state `cold`.
@@ -246,7 +253,8 @@
 }
 
 /// Body of `POST /admin/behaviour`: fields to change, and commands.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 pub struct Command {
     /// Turns cold again.
     pub turn_cold: Option<TurnCold>,
--- a/crates/standin/src/upstream/record.rs
+++ b/crates/standin/src/upstream/record.rs
@@ -9,7 +9,8 @@
 /// A request counts as run when its work begins, and also when it fails at once, since its caller
 /// cannot know that nothing was done. A shed request, and one that leaves the queue on
 /// cancellation or at its deadline, is not run.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Record {
     /// Runs by request id.
--- a/crates/standin/src/upstream/state.rs
+++ b/crates/standin/src/upstream/state.rs
@@ -23,7 +23,8 @@
 const HISTORY_MS: u64 = 10_000;
 
 /// What `/load` reports.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct LoadSample {
     pub in_flight: u32,
     pub slots: u32,
