Add the burn crate: error budgets, burn rates and their causes

Cause: operators need a service-level burn report over several windows. Ruled out: deriving windows from the metrics' counters (needs an outside server that samples them).

--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,95 @@
+//! Burn counts, windows and merging.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_burn::{
+    Cause, FleetReport, KindReport, NodeReport, Recorder, WindowReport, recorder::WINDOWS,
+};
+use oleandertiller_model::{ErrorKind, Outcome};
+use proptest::prelude::*;
+
+/// Guards against an error kind that burns the budget without a cause, or a client's fault that
+/// does.
+#[test]
+fn every_error_kind_is_classified() {
+    for kind in ErrorKind::ALL {
+        let cause = Cause::of(kind.outcome(), 0);
+        let clients_own = (400..=499).contains(&kind.answer().status)
+            && *kind != ErrorKind::KeyInProgress
+            || *kind == ErrorKind::DepthExceeded;
+        assert_eq!(cause.is_none(), clients_own, "{kind}");
+    }
+}
+
+/// Guards against failures of the upstream that count as correct answers.
+#[test]
+fn a_failure_status_is_bad() {
+    assert_eq!(Cause::of(Outcome::Done, 200), None);
+    assert_eq!(Cause::of(Outcome::Done, 404), None);
+    assert_eq!(Cause::of(Outcome::Done, 500), Some(Cause::UpstreamFailure));
+}
+
+/// Guards against a wrong burn rate: 2% failures at an objective of 99% burn twice as fast as
+/// allowed.
+#[test]
+fn burn_rate_is_relative_to_the_objective() {
+    let mut window = WindowReport { total: 1_000, ..WindowReport::default() };
+    window.bad[Cause::Overload.index()] = 20;
+    assert!((window.burn_rate(990_000) - 2.0).abs() < 1e-9);
+    assert!((window.budget_left(990_000) + 1.0).abs() < 1e-9);
+    assert_eq!(window.burn_rate(1_000_000), f64::INFINITY);
+}
+
+/// Guards against requests that stay in a short window for ever, or leave the long one too soon.
+#[test]
+fn windows_forget_old_requests() {
+    let start = Instant::now();
+    let mut recorder = Recorder::new(start);
+    recorder.record(Outcome::NotRun(ErrorKind::Overloaded), 0, start);
+    for window in WINDOWS {
+        let inside = start + window - Duration::from_secs(10);
+        let outside = start + window + Duration::from_secs(10);
+        assert_eq!(recorder.window(window, inside).bad_total(), 1, "{window:?}");
+        assert_eq!(recorder.window(window, outside).total, 0, "{window:?}");
+    }
+}
+
+/// Guards against a node that is asked twice and counted twice.
+#[test]
+fn a_node_is_merged_once() {
+    let kind = KindReport {
+        objective_ppm: 999_000,
+        windows: vec![WindowReport { seconds: 300, total: 5, ..WindowReport::default() }],
+        series: Vec::new(),
+    };
+    let node = NodeReport {
+        node: "kettle-1".into(),
+        since_seconds: 7,
+        services: [("kettle".into(), [("temper".into(), kind)].into())].into(),
+    };
+    let mut fleet = FleetReport::default();
+    fleet.merge(&node);
+    fleet.merge(&node);
+    assert_eq!(fleet.services["kettle"]["temper"].windows[0].total, 5);
+}
+
+proptest! {
+    /// Guards against slices of the ring that are mixed up after it has gone round.
+    #[test]
+    fn windows_count_exactly(offsets in prop::collection::vec(0_u64..60_000, 1..200)) {
+        let start = Instant::now();
+        let mut sorted = offsets.clone();
+        sorted.sort_unstable();
+        let mut recorder = Recorder::new(start);
+        for offset in &sorted {
+            recorder.record(Outcome::Done, 200, start + Duration::from_secs(*offset));
+        }
+        let newest = *sorted.last().expect("not empty");
+        let now = start + Duration::from_secs(newest);
+        for window in WINDOWS {
+            let slices = window.as_secs() / 10;
+            let expected = sorted.iter().filter(|o| *o / 10 + slices > newest / 10).count();
+            prop_assert_eq!(recorder.window(window, now).total, expected as u64);
+        }
+    }
+}
