Render the burn report as text, JSON and a self-contained HTML page

Cause: the report command printed raw JSON per node. Conclusion: reports of several nodes are summed, nodes that did not answer are named, and the page carries its plots as inline SVG. The test of the report command checks the summed form now, as strictly as before.

--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -4,10 +4,12 @@
 
 use argh::FromArgs;
 use async_std::task;
-use serde_json::{Value, json};
+use oleandertiller_burn::{FleetReport, NodeReport};
+use serde_json::json;
 use tide::http::Method;
 
 use super::{bad_usage, client::Call, failure};
+use crate::report::{html, text};
 
 /// Print how service-level objectives are met.
 #[derive(Debug)]
@@ -22,7 +24,7 @@
     #[argh(switch)]
     json: bool,
 
-    /// print a self-contained HTML page (not built yet)
+    /// print a self-contained HTML page
     #[argh(switch)]
     html: bool,
 }
@@ -33,7 +35,7 @@
     /// Operator port that was asked.
     pub node: SocketAddr,
     /// The node's `/report`, or one sentence.
-    pub report: Result<Value, String>,
+    pub report: Result<NodeReport, String>,
 }
 
 impl Report {
@@ -44,14 +46,14 @@
         if self.json && self.html {
             return bad_usage("`--json` and `--html` exclude each other");
         }
-        if self.html {
-            return failure("the HTML page is not built yet; `--json` prints what was measured");
-        }
         let reports = task::block_on(fetch(&self.node));
+        let fleet = merged(&reports);
         if self.json {
-            println!("{}", to_json(&reports));
+            println!("{}", json!(fleet));
+        } else if self.html {
+            print!("{}", html::render(&fleet));
         } else {
-            reports.iter().for_each(print_text);
+            print!("{}", text::render(&fleet));
         }
         match reports.iter().all(|fetched| fetched.report.is_ok()) {
             true => ExitCode::SUCCESS,
@@ -70,25 +72,23 @@
     let call = Call { method: Method::Get, path: "/report", token: None, json: true, body: "" };
     let report = match call.send(node).await {
         Ok(answer) if answer.is_success() => serde_json::from_str(&answer.body)
-            .map_err(|error| format!("node {node}: the report is not JSON: {error}")),
+            .map_err(|error| format!("node {node}: the report cannot be read: {error}")),
         Ok(answer) => Err(format!("node {node}: status {}", answer.status)),
         Err(error) => Err(error),
     };
     Fetched { node, report }
 }
 
-fn to_json(reports: &[Fetched]) -> Value {
-    let one = |fetched: &Fetched| match &fetched.report {
-        Ok(report) => json!({ "node": fetched.node, "report": report }),
-        Err(error) => json!({ "node": fetched.node, "error": error }),
-    };
-    reports.iter().map(one).collect()
-}
-
-/// Prints the report as it came; a table for people is not built yet.
-fn print_text(fetched: &Fetched) {
-    match &fetched.report {
-        Ok(report) => println!("node {}\n{report:#}", fetched.node),
-        Err(error) => println!("{error}"),
+/// Sums the reports; nodes that did not answer are named.
+fn merged(reports: &[Fetched]) -> FleetReport {
+    let mut fleet = FleetReport::default();
+    for fetched in reports {
+        match &fetched.report {
+            Ok(report) => fleet.merge(report),
+            Err(error) => {
+                fleet.missing.insert(fetched.node.to_string(), error.clone());
+            }
+        }
     }
+    fleet
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cmd;
 pub mod kernel;
 pub mod node;
+pub mod report;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,34 @@
+//! Rendering of the service-level burn report.
+
+pub mod html;
+pub mod text;
+
+use oleandertiller_burn::{Cause, WindowReport};
+
+/// Returns the length of a window as people write it.
+fn window_name(seconds: u64) -> String {
+    match seconds {
+        s if s % 3_600 == 0 => format!("{} h", s / 3_600),
+        s if s % 60 == 0 => format!("{} min", s / 60),
+        s => format!("{s} s"),
+    }
+}
+
+/// Returns an objective in percent, without trailing zeros.
+fn percent(ppm: u32) -> String {
+    let text = format!("{:.4}", f64::from(ppm) / 1e4);
+    format!("{}%", text.trim_end_matches('0').trim_end_matches('.'))
+}
+
+/// Returns a burn rate with two digits.
+fn rate(rate: f64) -> String {
+    if rate.is_finite() { format!("{rate:.2}") } else { "unbounded".to_owned() }
+}
+
+/// Returns the causes of a window that burned the budget, the largest first.
+fn causes(window: &WindowReport) -> Vec<(Cause, u64)> {
+    let mut causes: Vec<_> =
+        Cause::ALL.into_iter().zip(window.bad).filter(|(_, n)| *n > 0).collect();
+    causes.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+    causes
+}
--- /dev/null
+++ b/src/report/html.rs
@@ -0,0 +1,137 @@
+//! The burn report as a self-contained HTML page with plots.
+
+use std::fmt::Write;
+
+use oleandertiller_burn::{FleetReport, KindReport, report::SliceReport};
+use plotters::prelude::*;
+
+use super::{causes, percent, rate, window_name};
+
+/// Size of a plot, in pixels.
+const PLOT_SIZE: (u32, u32) = (640, 220);
+
+/// Burn rate up to which a plot always reaches, so that a quiet hour looks quiet.
+const PLOT_RATE_MIN: f64 = 2.0;
+
+/// Burn rate at which a plot ends; a total failure at a strict objective is far above it.
+const PLOT_RATE_MAX: f64 = 1_000.0;
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:60rem;\
+padding:0 1rem;color:#1d2733}h1{font-size:1.5rem}h2{font-size:1.15rem;margin-top:2.2rem}\
+table{border-collapse:collapse;width:100%}th,td{padding:.3rem .6rem;text-align:right;\
+border-bottom:1px solid #d8dee6}th:last-child,td:last-child{text-align:left}\
+.over{color:#b3261e;font-weight:600}.note{color:#5b6775}svg{max-width:100%;height:auto}";
+
+/// Renders the report as one page without outside references.
+pub fn render(report: &FleetReport) -> String {
+    let mut page = format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\
+         <title>Service-level burn</title><style>{STYLE}</style></head><body>\n\
+         <h1>Service-level burn</h1>\n<p class=\"note\">As seen by {} node(s)",
+        report.nodes.len()
+    );
+    if let Some(shortest) = report.nodes.values().min() {
+        let _ = write!(page, "; the node that started last has counted for {shortest} s");
+    }
+    page.push_str(".</p>\n");
+    for (node, why) in &report.missing {
+        let (node, why) = (escape(node), escape(why));
+        let _ = writeln!(page, "<p class=\"over\">Not in the report: {node}: {why}</p>");
+    }
+    for (service, kinds) in &report.services {
+        for (kind, report) in kinds {
+            let objective = percent(report.objective_ppm);
+            let _ = writeln!(page, "<h2>{service}/{kind}, objective {objective}</h2>");
+            table(&mut page, report);
+            page.push_str(&plot(report));
+        }
+    }
+    page.push_str("</body></html>\n");
+    page
+}
+
+fn table(page: &mut String, report: &KindReport) {
+    page.push_str(
+        "<table><tr><th>window</th><th>requests</th><th>failed</th><th>burn rate</th>\
+         <th>budget left</th><th>burned by</th></tr>\n",
+    );
+    for window in &report.windows {
+        let burn = window.burn_rate(report.objective_ppm);
+        let class = if burn > 1.0 { " class=\"over\"" } else { "" };
+        let left = window.budget_left(report.objective_ppm);
+        let left = if left.is_finite() { format!("{:.1}%", left * 100.0) } else { "none".into() };
+        let burned: Vec<_> =
+            causes(window).iter().map(|(cause, n)| format!("{} {n}", cause.label())).collect();
+        let _ = writeln!(
+            page,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td{class}>{}</td><td{class}>{left}</td>\
+             <td>{}</td></tr>",
+            window_name(window.seconds),
+            window.total,
+            window.bad_total(),
+            rate(burn),
+            burned.join(", "),
+        );
+    }
+    page.push_str("</table>\n");
+}
+
+/// Draws the burn rate of the last hour as SVG, or nothing without requests.
+fn plot(report: &KindReport) -> String {
+    let mut svg = String::new();
+    match draw(report, &mut svg) {
+        Ok(()) if !report.series.is_empty() => svg,
+        // A page without a plot is better than no page.
+        _ => String::new(),
+    }
+}
+
+fn slice_rate(slice: &SliceReport, objective_ppm: u32) -> f64 {
+    let allowed = (1.0 - f64::from(objective_ppm) / 1e6).max(1e-6);
+    (slice.bad as f64 / slice.total.max(1) as f64 / allowed).min(PLOT_RATE_MAX)
+}
+
+fn draw(report: &KindReport, svg: &mut String) -> Result<(), DrawingAreaErrorKind<std::io::Error>> {
+    let oldest = report.series.first().map_or(1, |slice| slice.age_seconds);
+    // At least two minutes, so that a young node does not draw one slice over the whole width.
+    let span = oldest.max(120) as f64 / 60.0;
+    let rates: Vec<(f64, f64)> = report
+        .series
+        .iter()
+        .map(|s| (-(s.age_seconds as f64) / 60.0, slice_rate(s, report.objective_ppm)))
+        .collect();
+    let top = rates.iter().map(|(_, rate)| *rate).fold(PLOT_RATE_MIN, f64::max) * 1.1;
+    let area = SVGBackend::with_string(svg, PLOT_SIZE).into_drawing_area();
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(34)
+        .y_label_area_size(52)
+        .build_cartesian_2d(-span..0.0, 0.0..top)
+        .map_err(into_io)?;
+    chart
+        .configure_mesh()
+        .light_line_style(WHITE)
+        .x_desc("minutes ago")
+        .y_desc("burn rate")
+        .x_label_formatter(&|x| format!("{:.0}", -x))
+        .draw()
+        .map_err(into_io)?;
+    let allowed = [(-span, 1.0), (0.0, 1.0)];
+    chart.draw_series(LineSeries::new(allowed, &RGBColor(179, 38, 30))).map_err(into_io)?;
+    let points = rates.iter().map(|point| Circle::new(*point, 2, RGBColor(31, 90, 160).filled()));
+    chart.draw_series(points).map_err(into_io)?;
+    chart.draw_series(LineSeries::new(rates.clone(), &RGBColor(31, 90, 160))).map_err(into_io)?;
+    area.present().map_err(into_io)
+}
+
+/// Drawing into a string cannot fail by input or output; the error only says that it failed.
+fn into_io<E: std::error::Error + Send + Sync>(
+    error: DrawingAreaErrorKind<E>,
+) -> DrawingAreaErrorKind<std::io::Error> {
+    let _ = error;
+    DrawingAreaErrorKind::LayoutError
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
--- /dev/null
+++ b/src/report/text.rs
@@ -0,0 +1,52 @@
+//! The burn report as text.
+
+use std::fmt::Write;
+
+use oleandertiller_burn::{FleetReport, KindReport};
+
+use super::{causes, percent, rate, window_name};
+
+/// Renders the report for a terminal.
+pub fn render(report: &FleetReport) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "Service-level burn, as seen by {} node(s)", report.nodes.len());
+    if let Some(shortest) = report.nodes.values().min() {
+        let _ = writeln!(text, "The node that started last has counted for {shortest} s");
+    }
+    for (node, why) in &report.missing {
+        let _ = writeln!(text, "Not in the report: {node}: {why}");
+    }
+    for (service, kinds) in &report.services {
+        for (kind, report) in kinds {
+            let _ =
+                writeln!(text, "\n{service}/{kind}  objective {}", percent(report.objective_ppm));
+            render_kind(&mut text, report);
+        }
+    }
+    text
+}
+
+fn render_kind(text: &mut String, report: &KindReport) {
+    let _ = writeln!(
+        text,
+        "  {:>7} {:>10} {:>8} {:>10} {:>12}  burned by",
+        "window", "requests", "failed", "burn rate", "budget left"
+    );
+    for window in &report.windows {
+        let burned: Vec<_> =
+            causes(window).iter().map(|(cause, n)| format!("{} {n}", cause.label())).collect();
+        let left = window.budget_left(report.objective_ppm);
+        let left = if left.is_finite() { format!("{:.1}%", left * 100.0) } else { "none".into() };
+        let _ = writeln!(
+            text,
+            "  {:>7} {:>10} {:>8} {:>10} {:>12}  {}",
+            window_name(window.seconds),
+            window.total,
+            window.bad_total(),
+            rate(window.burn_rate(report.objective_ppm)),
+            left,
+            if burned.is_empty() { "-".to_owned() } else { burned.join(", ") },
+        );
+    }
+}
--- a/tests/cli/commands.rs
+++ b/tests/cli/commands.rs
@@ -139,15 +139,20 @@
 /// Guards against a partial report that looks complete.
 #[test]
 fn report_states_which_nodes_are_missing() {
-    let (node, server) = serve_once("HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\n{\"calls\":3}");
+    let report = r#"{"node":"kettle-1","since-seconds":9,"services":{"kettle":{"temper":{
+        "objective-ppm":999000,"series":[],
+        "windows":[{"seconds":300,"total":3,"bad":[0,0,0,0,0,0,0,0,0]}]}}}}"#;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", report.len());
+    let answer: &'static str = Box::leak(format!("{head}{report}").into_boxed_str());
+    let (node, server) = serve_once(answer);
     let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
     let node = node.to_string();
     let output = run(&["report", "--node", &node, "--node", &closed, "--json"]);
     assert!(server.join().unwrap().starts_with("GET /report HTTP/1.1\r\n"));
     assert_eq!(output.status.code(), Some(1));
     let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
-    assert_eq!(json[0]["report"]["calls"], 3);
-    assert!(json[1]["error"].is_string());
+    assert_eq!(json["services"]["kettle"]["temper"]["windows"][0]["total"], 3);
+    assert!(json["missing"][&closed].is_string(), "{json}");
 }
 
 /// A node that is running; ended when dropped.
