Make the routes of a service when it is called

Cause: after each change of the view the next request made the routes of all services, which is a walk over every owner of the fleet on the request path.

Conclusion: a route is made again only for the service that is called, and only when its owners or the intent changed.

--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -15,7 +15,6 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwap;
 use async_channel::{Receiver, Recv};
 use async_h1::server;
 use async_std::{
@@ -54,8 +53,7 @@
     metrics: Metrics,
     owner: Arc<Owner<C>>,
     client: Arc<InnerClient<C>>,
-    maker: RouteMaker,
-    routes: ArcSwap<Routes>,
+    routes: Routes,
     budget: Mutex<Budget>,
     clients: AtomicUsize,
     active: AtomicUsize,
@@ -91,6 +89,7 @@
     id: Uuid,
     body: BodyKind,
     asked: Result<Asked, ErrorKind>,
+    fresh: bool,
     expects_continue: bool,
     close: bool,
 }
@@ -118,8 +117,7 @@
             metrics,
             owner,
             client,
-            maker,
-            routes: ArcSwap::from_pointee(Routes::empty()),
+            routes: Routes::new(maker),
             budget: Mutex::new(budget),
             clients: AtomicUsize::new(0),
             active: AtomicUsize::new(0),
@@ -230,14 +228,15 @@
 
     fn head(&self, req: &Request) -> Result<Head, ErrorKind> {
         let now = self.clock.now();
-        let routes = self.routes();
+        let view = self.view.load();
         let header_is = |name: &str, value: &str| {
             req.header(name).is_some_and(|v| v.last().as_str().eq_ignore_ascii_case(value))
         };
         Ok(Head {
             id: request_id(req)?,
             body: body_kind(req, self.cfg.body_max_bytes)?,
-            asked: parse(req, &routes, now, self.cfg.max_depth),
+            asked: parse(req, |name| self.routes.find(name, &view, now), now, self.cfg.max_depth),
+            fresh: view.fresh,
             expects_continue: header_is("expect", "100-continue"),
             close: header_is("connection", "close"),
         })
@@ -250,7 +249,7 @@
         if depth == 0 && self.owner.is_draining() {
             return Err(ErrorKind::Draining);
         }
-        if !self.routes.load().is_fresh() {
+        if !head.fresh {
             return Err(ErrorKind::StaleIntent);
         }
         Ok(())
@@ -283,18 +282,6 @@
         ended
     }
 
-    /// Returns the routes of the present view.
-    fn routes(&self) -> Arc<Routes> {
-        let view = self.view.load();
-        let routes = self.routes.load_full();
-        if routes.is_of(&view) {
-            return routes;
-        }
-        let routes = Arc::new(routes.rebuilt(view, &self.maker, self.clock.now()));
-        self.routes.store(routes.clone());
-        routes
-    }
-
     /// Answers a request whose end cannot be told, after which the connection is useless.
     async fn reject(&self, conn: &Conn, id: Option<Uuid>, kind: ErrorKind) -> io::Result<Next> {
         self.metrics.count_rejected(kind.outcome());
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -129,7 +129,7 @@
             depth: asked.depth,
             key: asked.key.as_ref().map(|(key, _)| *key),
             key_text: asked.key.as_ref().map(|(_, text)| text.clone()),
-            revision: self.routes.load().revision(),
+            revision: asked.route.intent.revision,
         }
     }
 }
--- a/src/node/ingress/request.rs
+++ b/src/node/ingress/request.rs
@@ -9,7 +9,7 @@
 use tide::http::{Method, Request, headers::CONTENT_LENGTH};
 use uuid::{Builder, Uuid};
 
-use super::route::{Routes, ServiceRoute};
+use super::route::ServiceRoute;
 
 /// A request whose head is accepted.
 pub struct Asked {
@@ -82,7 +82,7 @@
 /// Returns the kind of the first thing that is wrong.
 pub fn parse(
     req: &Request,
-    routes: &Routes,
+    find: impl Fn(&str) -> Option<Arc<ServiceRoute>>,
     now: Instant,
     max_depth: u8,
 ) -> Result<Asked, ErrorKind> {
@@ -95,7 +95,7 @@
     let mut segments = url.path().trim_start_matches('/').splitn(3, '/');
     let service = segments.next().unwrap_or_default();
     let kind_name = segments.next().unwrap_or_default();
-    let route = routes.service(service).ok_or(ErrorKind::UnknownService)?;
+    let route = find(service).ok_or(ErrorKind::UnknownService)?;
     let kind = route.kind(kind_name).ok_or(ErrorKind::UnknownKind)?;
     let spec = &route.spec.kinds[kind];
     let depth = depth(req, max_depth)?;
@@ -109,7 +109,7 @@
         None => url.path().to_owned(),
     };
     let content_type = single(req, "content-type")?.map(str::to_owned);
-    Ok(Asked { route: route.clone(), kind, deadline, depth, method, path, content_type, key })
+    Ok(Asked { route, kind, deadline, depth, method, path, content_type, key })
 }
 
 fn single<'a>(req: &'a Request, name: &str) -> Result<Option<&'a str>, ErrorKind> {
--- a/src/node/ingress/route.rs
+++ b/src/node/ingress/route.rs
@@ -1,4 +1,4 @@
-//! Services as the ingress calls them, derived from the view.
+//! Services as the ingress calls them, derived from the view when they are first called.
 
 use std::{
     collections::HashMap,
@@ -7,8 +7,9 @@
     time::Instant,
 };
 
+use arc_swap::ArcSwap;
 use oleandertiller_model::{
-    ErrorKind, LoadReport, NodeName, Outcome, Revision, ServiceName, ServiceSpec, ZoneName,
+    ErrorKind, Intent, LoadReport, NodeName, Outcome, ServiceName, ServiceSpec, ZoneName,
 };
 use oleandertiller_routing::selection::{Candidate, SelectionConfig, Selector};
 
@@ -23,12 +24,23 @@
     pub spec: ServiceSpec,
     /// Metrics of the kinds, in the order of `spec.kinds`.
     pub metrics: Vec<KindMetrics>,
+    /// Intent from which the route was made.
+    pub intent: Arc<Intent>,
     owners: Option<Arc<[OwnerInfo]>>,
     addresses: HashMap<NodeName, SocketAddr>,
     selector: Arc<Mutex<Selector>>,
 }
 
 impl ServiceRoute {
+    /// Returns whether the route is what `view` makes it.
+    fn is_of(&self, view: &View) -> bool {
+        let same_owners = match (&self.owners, view.owners.get(&self.spec.name)) {
+            (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+            (old, new) => old.is_none() && new.is_none(),
+        };
+        same_owners && Arc::ptr_eq(&self.intent, &view.intent)
+    }
+
     /// Returns the index of a kind.
     pub fn kind(&self, name: &str) -> Option<usize> {
         self.spec.kinds.iter().position(|kind| kind.name.as_str() == name)
@@ -85,56 +97,41 @@
     }
 }
 
-/// All services, as of one view.
+/// Routes of the services that have been called.
+///
+/// A fleet has thousands of owners, and a request must not wait until the routes of all services
+/// are made again after each change; so each is made when a call needs it.
 pub struct Routes {
-    view: Arc<View>,
-    services: HashMap<ServiceName, Arc<ServiceRoute>>,
+    maker: RouteMaker,
+    services: ArcSwap<HashMap<ServiceName, Arc<ServiceRoute>>>,
 }
 
 impl Routes {
     /// Creates routes without services.
-    pub fn empty() -> Self {
-        Self { view: Arc::default(), services: HashMap::new() }
+    pub fn new(maker: RouteMaker) -> Self {
+        Self { maker, services: ArcSwap::default() }
     }
 
-    /// Returns whether the routes were made from `view`.
-    pub fn is_of(&self, view: &Arc<View>) -> bool {
-        Arc::ptr_eq(&self.view, view)
-    }
-
-    /// Returns whether the intent is current enough to take new work.
-    pub fn is_fresh(&self) -> bool {
-        self.view.fresh
-    }
-
-    /// Returns the revision of the intent.
-    pub fn revision(&self) -> Revision {
-        self.view.intent.revision
-    }
-
-    /// Returns a service.
-    pub fn service(&self, name: &str) -> Option<&Arc<ServiceRoute>> {
-        self.services.get(name)
+    /// Returns the route of a service as of `view`.
+    pub fn find(&self, name: &str, view: &View, now: Instant) -> Option<Arc<ServiceRoute>> {
+        let known = self.services.load();
+        let old = known.get(name);
+        if let Some(route) = old.filter(|route| route.is_of(view)) {
+            return Some(route.clone());
+        }
+        let spec = view.intent.services.get(name)?;
+        let route = Arc::new(self.maker.route(spec, view, old, now));
+        self.services.rcu(|known| {
+            let mut known = HashMap::clone(known);
+            known.insert(spec.name.clone(), route.clone());
+            known
+        });
+        Some(route)
     }
 
-    /// Makes the routes of `view`; keeps what is known of services that stay.
-    pub fn rebuilt(&self, view: Arc<View>, maker: &RouteMaker, now: Instant) -> Self {
-        let same_intent = Arc::ptr_eq(&self.view.intent, &view.intent);
-        let mut services = HashMap::with_capacity(view.intent.services.len());
-        for (name, spec) in &view.intent.services {
-            let owners = view.owners.get(name);
-            let old = self.services.get(name);
-            let unchanged = |old: &&Arc<ServiceRoute>| match (&old.owners, owners) {
-                (Some(old), Some(new)) => Arc::ptr_eq(old, new),
-                (old, new) => old.is_none() && new.is_none(),
-            };
-            let route = match old.filter(unchanged).filter(|_| same_intent) {
-                Some(old) => old.clone(),
-                None => Arc::new(maker.route(spec, owners, &view, old, now)),
-            };
-            services.insert(name.clone(), route);
-        }
-        Self { view, services }
+    /// Returns all routes.
+    pub fn all(&self) -> Arc<HashMap<ServiceName, Arc<ServiceRoute>>> {
+        self.services.load_full()
     }
 }
 
@@ -152,7 +149,6 @@
     fn route(
         &self,
         spec: &ServiceSpec,
-        owners: Option<&Arc<[OwnerInfo]>>,
         view: &View,
         old: Option<&Arc<ServiceRoute>>,
         now: Instant,
@@ -162,13 +158,15 @@
             Some(old) => old.selector.clone(),
             None => Arc::new(Mutex::new(new_selector())),
         };
+        let owners = view.owners.get(&spec.name);
         let list = owners.map_or(&[][..], |owners| &owners[..]);
         let candidates = list.iter().map(|owner| candidate(owner, view)).collect();
         let lock = selector.lock();
         lock.unwrap_or_else(PoisonError::into_inner).set_candidates(candidates, now);
         let addresses = list.iter().map(|owner| (owner.node.clone(), owner.inner)).collect();
         let metrics = ServiceRoute::metrics(&self.metrics, spec);
-        ServiceRoute { spec: spec.clone(), metrics, owners: owners.cloned(), addresses, selector }
+        let (spec, intent) = (spec.clone(), view.intent.clone());
+        ServiceRoute { spec, metrics, intent, owners: owners.cloned(), addresses, selector }
     }
 }
 
