--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod cmd;
 pub mod kernel;
 pub mod node;
+pub mod settings;
+pub mod telemetry;
