Tell a refused stream from a lost connection when the reset is early

Cause: a peer that refuses a stream before its data is queued makes send_data fail, and the call was answered unknown (connection-lost) though it was proven not run. Seen once in three runs of false_owners_give_the_right_outcome on a busy machine. The response is now awaited in any case, and its error says why. Slots granted to nobody are passed on for any list of decisions, as the limiter's type is about to change.

Conclusion: the fault was in the client, the test stays as it is.

--- a/src/node/inner/client.rs
+++ b/src/node/inner/client.rs
@@ -239,9 +239,9 @@
     // Until the first data is queued nothing of the call can have been run.
     let not_sent = |_| Outcome::NotRun(ErrorKind::ConnectFailed);
     let (response, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
-    stream.send_data(frame, rest.is_empty()).map_err(|error| failure(&error))?;
-    if !rest.is_empty() {
-        stream.send_data(rest, true).map_err(|error| failure(&error))?;
+    // A stream that the peer has already reset takes no data; the response then says why.
+    if stream.send_data(frame, rest.is_empty()).is_ok() && !rest.is_empty() {
+        let _ = stream.send_data(rest, true);
     }
     let response = response.await.map_err(|error| failure(&error))?;
     if response.status() != http::StatusCode::OK {
--- a/src/node/owner/state.rs
+++ b/src/node/owner/state.rs
@@ -101,20 +101,29 @@
     }
 
     /// Passes decisions to the requests that wait for them.
-    pub fn decide(&mut self, mut decisions: Vec<Decision>, now: Instant) {
-        while let Some(decision) = decisions.pop() {
+    pub fn decide(&mut self, decisions: impl IntoIterator<Item = Decision>, now: Instant) {
+        let mut unused = self.deliver(decisions);
+        // Slots for which nobody waits any more go to the next.
+        while unused > 0 {
+            unused -= 1;
+            let decisions = self.limiter.release(Ended::Ignored, now);
+            unused += self.deliver(decisions);
+        }
+    }
+
+    /// Returns the number of granted slots for which nobody waits.
+    fn deliver(&mut self, decisions: impl IntoIterator<Item = Decision>) -> usize {
+        let mut unused = 0;
+        for decision in decisions {
             match self.waiting.get_mut(&decision.ticket) {
                 Some(waiting) => {
                     waiting.decision = Some(decision.admission);
                     waiting.waker.take().into_iter().for_each(Waker::wake);
                 }
-                // Nobody waits for the slot any more, so it goes to the next.
-                None if decision.admission == Admission::Run => {
-                    decisions.extend(self.limiter.release(Ended::Ignored, now));
-                }
-                None => {}
+                None => unused += usize::from(decision.admission == Admission::Run),
             }
         }
+        unused
     }
 
     /// Makes the load report for an answer.
