--- /dev/null
+++ b/crates/bench/src/cmd/compare.rs
@@ -0,0 +1,251 @@
+//! `bench compare`: selection policies under the same load and the same fault.
+
+mod fault;
+
+use std::error::Error;
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use async_std::task;
+use oleandertiller_bench::checks::Checks;
+use oleandertiller_bench::fleet::{Fleet, FleetPlan, record, set_behaviour};
+use oleandertiller_bench::load::{self, ClientPolicy, Plan, Route};
+use oleandertiller_bench::plot::{self, Labels, Line};
+use oleandertiller_bench::stats::{Stats, Summary};
+use oleandertiller_bench::workload::Deployment;
+use oleandertiller_standin::Record;
+use serde::Serialize;
+use serde_json::json;
+
+use super::{CommandResult, bounded_seconds, write_result};
+use fault::Fault;
+
+/// Policies of nodes, the project's own first.
+const NODE_POLICIES: [&str; 4] = ["expected-wait", "random", "round-robin", "least-in-flight"];
+
+/// Compares selection policies with one scripted fault.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+pub struct Compare {
+    /// tuul or trunkworks
+    #[argh(option, default = "Deployment::Tuul")]
+    deployment: Deployment,
+    /// slow, failing, cold, zone or none
+    #[argh(option, default = "Fault::Slow")]
+    fault: Fault,
+    /// policy, repeatable; all by default
+    #[argh(option)]
+    policy: Vec<String>,
+    /// calls per second
+    #[argh(option, default = "1_500.0")]
+    rate: f64,
+    /// measured seconds of each run; the fault acts in the middle third
+    #[argh(option, default = "9")]
+    seconds: u64,
+    /// seconds of load before the measurement
+    #[argh(option, default = "4")]
+    warmup: u64,
+    /// runs of each policy, each with its own seed
+    #[argh(option, default = "1")]
+    runs: u64,
+    /// factor on the service times, to reach a high utilisation at a moderate rate
+    #[argh(option, default = "4.0")]
+    scale: f64,
+    /// one-way latency to clients in milliseconds
+    #[argh(option, default = "3.0")]
+    client_delay_ms: f64,
+    /// share of at-most-once requests that clients send twice at the same time
+    #[argh(option, default = "0.02")]
+    duplicate_share: f64,
+    /// times that clients repeat an at-most-once request without a known outcome
+    #[argh(option, default = "1")]
+    repeats: u64,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// start no nodes; clients select the upstreams themselves by the baseline policies
+    #[argh(switch)]
+    upstreams_only: bool,
+    /// directory of the result files
+    #[argh(option, default = "PathBuf::from(\"bench-results\")")]
+    out: PathBuf,
+}
+
+/// Result of one policy.
+#[derive(Serialize)]
+struct Variant {
+    policy: String,
+    summary: Summary,
+    checks: Checks,
+    /// Weighted share of good answers by second.
+    goodput_by_second: Vec<(u64, f64)>,
+}
+
+#[derive(Serialize)]
+struct CompareResult<'a> {
+    deployment: Deployment,
+    fault: String,
+    rate: f64,
+    seconds: u64,
+    scale: f64,
+    runs: u64,
+    seed: u64,
+    nodes: bool,
+    variants: &'a [Variant],
+}
+
+pub fn run(args: &Compare) -> CommandResult {
+    bounded_seconds(args.seconds + args.warmup)?;
+    if args.upstreams_only && args.fault == Fault::Zone {
+        return Err("a zone is taken out of service by a node; leave --upstreams-only out".into());
+    }
+    let mut variants = Vec::new();
+    for policy in policies(args) {
+        let mut stats = Stats::new();
+        let mut checks = Checks::default();
+        for run in 0..args.runs {
+            let (of_run, checked) = one(args, &policy, args.seed + run)?;
+            stats.merge(of_run);
+            checks.add(checked);
+        }
+        let variant = Variant {
+            goodput_by_second: by_second(&stats),
+            summary: stats.summary(),
+            checks,
+            policy,
+        };
+        variant.print();
+        variants.push(variant);
+    }
+    write(args, &variants)
+}
+
+fn policies(args: &Compare) -> Vec<String> {
+    let all = NODE_POLICIES.iter().map(|policy| (*policy).to_owned());
+    match (args.policy.is_empty(), args.upstreams_only) {
+        (false, _) => args.policy.clone(),
+        (true, false) => all.collect(),
+        (true, true) => all.skip(1).collect(),
+    }
+}
+
+/// Starts a fleet of its own, so that no variant inherits the state of another.
+fn one(args: &Compare, policy: &str, seed: u64) -> Result<(Stats, Checks), Box<dyn Error>> {
+    let node_policy = (!args.upstreams_only).then(|| policy.to_owned());
+    let fleet = Fleet::start(&FleetPlan::of(args.deployment, args.scale, node_policy, seed))?;
+    let plan = plan(args, route(args, policy, &fleet)?, seed);
+    load::run(plan.clone().warmup(Duration::from_secs(args.warmup)));
+    task::block_on(reset_records(&fleet))?;
+    let script = fault::Script::new(args.fault, args.deployment, &fleet, args.scale);
+    let length = plan.length;
+    let stats = std::thread::scope(|scope| {
+        let acting = scope.spawn(|| script.run(length));
+        let stats = load::run(plan);
+        acting.join().expect("the script does not panic").map(|()| stats)
+    })?;
+    let records = task::block_on(records(&fleet))?;
+    Ok((stats, Checks::of(&records)))
+}
+
+fn route(args: &Compare, policy: &str, fleet: &Fleet) -> Result<Route, Box<dyn Error>> {
+    if !args.upstreams_only {
+        return Ok(Route::Nodes(fleet.clients()));
+    }
+    let policy: ClientPolicy = policy.parse()?;
+    Ok(Route::Upstreams(upstreams(args.deployment, fleet), policy))
+}
+
+fn plan(args: &Compare, route: Route, seed: u64) -> Plan {
+    let length = Duration::from_secs(args.seconds);
+    let mut plan = Plan::new(seed, args.rate, length, args.deployment.kinds().to_vec(), route);
+    plan.client_delay = Duration::from_secs_f64(args.client_delay_ms / 1_000.0);
+    plan.duplicate_share = args.duplicate_share;
+    plan.repeats = args.repeats;
+    plan
+}
+
+async fn reset_records(fleet: &Fleet) -> io::Result<()> {
+    for member in &fleet.members {
+        set_behaviour(member.addr, &json!({ "reset_record": true })).await?;
+    }
+    Ok(())
+}
+
+async fn records(fleet: &Fleet) -> io::Result<Vec<Record>> {
+    let mut records = Vec::new();
+    for member in &fleet.members {
+        records.push(record(member.addr).await?);
+    }
+    Ok(records)
+}
+
+fn upstreams(
+    deployment: Deployment,
+    fleet: &Fleet,
+) -> std::collections::BTreeMap<String, Vec<std::net::SocketAddr>> {
+    let services = deployment.services().map(|size| {
+        let addrs = fleet.of_service(size.service).iter().map(|member| member.addr).collect();
+        (size.service.to_owned(), addrs)
+    });
+    services.into()
+}
+
+fn by_second(stats: &Stats) -> Vec<(u64, f64)> {
+    let good = |second| stats.good_by_second.get(second).copied().unwrap_or(0) as f64;
+    let seconds = stats.offered_by_second.iter();
+    seconds.map(|(second, offered)| (*second, good(second) / *offered as f64)).collect()
+}
+
+impl Variant {
+    fn print(&self) {
+        println!("{}: weighted goodput {:.4}", self.policy, self.summary.goodput);
+        println!(
+            "  keys run twice {}, above the cold limit {}, late after zone out {}, late after \
+             drain {}",
+            self.checks.run_twice,
+            self.checks.cold_excess,
+            self.checks.zone_out_late,
+            self.checks.draining_late,
+        );
+        for (kind, summary) in &self.summary.kinds {
+            println!(
+                "  {kind:16} p99 of all {:8.2} ms, of correct answers {:8.2} ms, {} of {} good",
+                summary.latency_all.p99, summary.latency.p99, summary.good, summary.offered,
+            );
+            for (outcome, count) in summary.counts.iter().filter(|(name, _)| *name != "done") {
+                println!("    {outcome}: {count}");
+            }
+        }
+    }
+}
+
+fn write(args: &Compare, variants: &[Variant]) -> CommandResult {
+    let result = CompareResult {
+        deployment: args.deployment,
+        fault: format!("{:?}", args.fault).to_lowercase(),
+        rate: args.rate,
+        seconds: args.seconds,
+        scale: args.scale,
+        runs: args.runs,
+        seed: args.seed,
+        nodes: !args.upstreams_only,
+        variants,
+    };
+    let stem = write_result(&args.out, "compare", &result)?;
+    let title = format!("Goodput, fault: {}", result.fault);
+    let labels = Labels { title: &title, x: "s", y: "weighted share of good answers" };
+    let lines: Vec<Line> = variants
+        .iter()
+        .map(|variant| Line {
+            name: variant.policy.clone(),
+            points: variant
+                .goodput_by_second
+                .iter()
+                .map(|(s, share)| (*s as f64, *share))
+                .collect(),
+        })
+        .collect();
+    plot::write(&stem.with_extension("svg"), &labels, &lines)
+}
