--- a/src/node/ingress/keyed.rs
+++ b/src/node/ingress/keyed.rs
@@ -136,7 +136,9 @@
         // A planned stop waits for this run even if its client has gone.
         let _active = Counted::new(&self.active);
         call.role = Role::Owner;
-        let answer = match Asked::of_call(&call, &self.routes(), deadline) {
+        let view = self.view.load();
+        let route = self.routes.find(call.service.as_str(), &view, self.clock.now());
+        let answer = match Asked::of_call(&call, route, deadline) {
             Ok(asked) => self.attempts(&asked, &mut call, &body).await,
             Err(kind) => Answer::of_kind(kind),
         };
