--- a/crates/routing/src/limit/adapt.rs
+++ b/crates/routing/src/limit/adapt.rs
@@ -29,8 +29,14 @@
 /// Successes for each slot of the limit before the limit grows by one.
 const RAMP_RESULTS: u32 = 4;
 
-/// Longest ramp after repeated returns to the cold state, as a factor of the shortest.
-const CAUTION_MAX: u32 = 4;
+/// Most good windows in a row before the limit grows again after failures at a higher limit.
+const CAUTION_MAX: u32 = 8;
+
+/// Failures in the first window after the limit has grown that take the growth back.
+///
+/// A cold upstream fails above what it bears, and each failure at the edge may be lost to its
+/// client, so the edge is not held for a whole window.
+const TRIAL_FAILURES: u32 = 2;
 
 /// Windows over which the baseline follows latency in normal operation. A slowdown is judged
 /// against the time before it, so the baseline moves much slower than the decision.
@@ -40,9 +46,6 @@
 /// cannot be the cause of the latency.
 const COLD_BASELINE_WINDOWS: f64 = 2.0;
 
-/// Good windows in a row that end a cold state that was not announced.
-const COLD_EXIT_WINDOWS: u32 = 1;
-
 /// What a finished window says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
@@ -62,8 +65,11 @@
     baseline: Option<f64>,
     /// Largest number in flight during a good window.
     proven: u32,
+    /// Good windows in a row before the limit grows.
     caution: u32,
     good_windows: u32,
+    /// The limit has grown in the last window and is not confirmed yet.
+    trial: bool,
     window: Window,
 }
 
@@ -88,6 +94,7 @@
             proven: 0,
             caution: 1,
             good_windows: 0,
+            trial: false,
             window: Window::default(),
         }
     }
@@ -119,11 +126,15 @@
     pub fn on_failure(&mut self, held: Hold) {
         self.window.failures += 1;
         self.window.failures_in_row += 1;
-        self.close_window(held);
+        if self.trial && self.window.failures >= TRIAL_FAILURES {
+            self.take_back();
+        } else {
+            self.close_window(held);
+        }
     }
 
     fn window_results(&self) -> u32 {
-        WINDOW_RESULTS.max(RAMP_RESULTS * self.limit as u32) * self.caution
+        WINDOW_RESULTS.max(RAMP_RESULTS * self.limit as u32)
     }
 
     fn close_window(&mut self, held: Hold) {
@@ -153,16 +164,24 @@
         if held.announced_cold {
             return;
         }
-        if self.detected_cold {
-            self.good_windows += 1;
-            if self.good_windows < COLD_EXIT_WINDOWS {
-                return;
-            }
-            self.detected_cold = false;
-        }
         if window.failures == 0 {
             self.proven = self.proven.max(window.peak);
         }
+        if self.trial {
+            self.trial = false;
+            self.caution = (self.caution / 2).max(1);
+        }
+        self.good_windows += 1;
+        if self.good_windows < self.caution {
+            return;
+        }
+        self.good_windows = 0;
+        self.detected_cold = false;
+        self.grow(window, ratio, held);
+    }
+
+    fn grow(&mut self, window: &Window, ratio: f64, held: Hold) {
+        let before = self.limit();
         let used = window.peak + 1 >= self.limit as u32;
         match self.adaptation {
             Adaptation::Aimd if used => self.limit += 1.0,
@@ -176,13 +195,27 @@
         if self.limit >= f64::from(held.slots) {
             self.caution = 1;
         }
+        self.trial = self.limit() > before;
     }
 
-    fn decrease(&mut self, ratio: f64, window: &Window) {
+    /// Takes the latest growth back.
+    fn take_back(&mut self) {
+        self.limit = (self.limit - 1.0).max(1.0);
+        self.proven = self.proven.min(self.limit());
+        self.be_careful();
+        self.window = Window::default();
+    }
+
+    fn be_careful(&mut self) {
+        self.trial = false;
         self.good_windows = 0;
+        self.caution = (self.caution * 2).min(CAUTION_MAX);
+    }
+
+    fn decrease(&mut self, ratio: f64, window: &Window) {
         // What fails now is no longer proven, and is tried again with more care.
         self.proven = self.proven.min(window.peak.saturating_sub(1));
-        self.caution = (self.caution * 2).min(CAUTION_MAX);
+        self.be_careful();
         let factor = match self.adaptation {
             Adaptation::Aimd => DECREASE,
             Adaptation::Gradient => (1.5 / ratio.max(0.1)).clamp(0.5, DECREASE),
@@ -191,9 +224,10 @@
     }
 
     fn turn_cold(&mut self) {
-        self.good_windows = 0;
-        if !self.detected_cold {
-            self.caution = (self.caution * 2).min(CAUTION_MAX);
+        let caution = self.caution;
+        self.be_careful();
+        if self.detected_cold {
+            self.caution = caution;
         }
         self.detected_cold = true;
         self.proven = 0;
--- /dev/null
+++ b/crates/routing/tests/queueing/model.rs
@@ -0,0 +1,352 @@
+//! The event loop: clients, ingress nodes, owners and upstreams of one service.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::{ErrorKind, Lifecycle, LoadReport, NodeName, Outcome, ZoneName};
+use oleandertiller_routing::{
+    budget::Budget,
+    limit::{Admission, Ask, Decisions, Ended},
+    outcome::may_retry,
+    selection::{Candidate, Selector},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{
+    scenario::{Fault, KINDS, Scenario},
+    server::Server,
+};
+
+const ZONES: [&str; 3] = ["bayangol", "sukhbaatar", "khan-uul"];
+const SAME_ZONE: Duration = Duration::from_micros(200);
+const OTHER_ZONE: Duration = Duration::from_micros(1_500);
+const TICK: Duration = Duration::from_millis(5);
+const MEASURING_PPM: u32 = 10_000;
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    pub kind: usize,
+    pub arrived: Duration,
+    /// Time to a correct answer within the deadline.
+    pub answered: Option<Duration>,
+}
+
+/// Result of one run.
+#[derive(Debug)]
+pub struct Run {
+    pub records: Vec<Record>,
+    pub overburdened: u64,
+    pub probes: u64,
+    /// Per second: of each server, requests started, failures and the limit.
+    pub trace: Vec<Vec<(u64, u64, u32)>>,
+}
+
+#[derive(Debug)]
+struct Request {
+    kind: usize,
+    ingress: usize,
+    arrived: Duration,
+    tried: Vec<NodeName>,
+    sent: Duration,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive,
+    AtOwner { req: usize, server: usize },
+    Finish { req: usize, server: usize, ended: Ended, outcome: Outcome },
+    Back { req: usize, server: usize, outcome: Outcome, report: LoadReport },
+    ProbeAtOwner { ingress: usize, server: usize },
+    ProbeBack { ingress: usize, server: usize, report: LoadReport },
+    Tick,
+    Announce(Lifecycle, bool),
+}
+
+struct Ingress {
+    selector: Selector,
+    retries: Budget,
+    measuring: Budget,
+}
+
+pub struct Model {
+    scenario: Scenario,
+    base: Instant,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: Vec<Option<Event>>,
+    ingress: Vec<Ingress>,
+    servers: Vec<Server>,
+    requests: Vec<Request>,
+    arrivals: StdRng,
+    service: StdRng,
+    choice: StdRng,
+    run: Run,
+    traced: u64,
+}
+
+fn node(server: usize) -> NodeName {
+    NodeName::from(format!("node-{server}").as_str())
+}
+
+fn server_of(node: &NodeName) -> usize {
+    node.as_str()["node-".len()..].parse().expect("made by `node`")
+}
+
+fn zone(at: usize) -> ZoneName {
+    ZoneName::from(ZONES[at % ZONES.len()])
+}
+
+fn one_way(ingress: usize, server: usize) -> Duration {
+    let same = ingress % ZONES.len() == server % ZONES.len();
+    if same { SAME_ZONE } else { OTHER_ZONE }
+}
+
+impl Model {
+    pub fn run(scenario: Scenario) -> Run {
+        let base = Instant::now();
+        let candidates: Vec<_> = (0..scenario.servers)
+            .map(|server| Candidate {
+                node: node(server),
+                incarnation: 1,
+                zone: zone(server),
+                version: "v1".into(),
+                eligible: true,
+            })
+            .collect();
+        let ingress = (0..scenario.ingress_nodes)
+            .map(|at| {
+                let mut selector = Selector::new(scenario.selection.clone(), zone(at));
+                selector.set_ingress_nodes(scenario.ingress_nodes as u32);
+                selector.set_candidates(candidates.clone(), base);
+                Ingress {
+                    selector,
+                    retries: Budget::for_retries(base),
+                    measuring: Budget::for_measuring(MEASURING_PPM, base),
+                }
+            })
+            .collect();
+        let seeded = |stream| StdRng::seed_from_u64(scenario.seed * 1_000 + stream);
+        let mut model = Self {
+            base,
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            ingress,
+            servers: (0..scenario.servers).map(|at| Server::new(&scenario, at, base)).collect(),
+            requests: Vec::new(),
+            arrivals: seeded(0),
+            service: seeded(1),
+            choice: seeded(2),
+            run: Run { records: Vec::new(), overburdened: 0, probes: 0, trace: Vec::new() },
+            traced: 0,
+            scenario,
+        };
+        model.go();
+        model.run
+    }
+
+    fn go(&mut self) {
+        self.at(Duration::ZERO, Event::Arrive);
+        self.at(Duration::ZERO, Event::Tick);
+        if let Fault::Restarts { warm_up } = self.scenario.fault {
+            let at = self.scenario.fault_at;
+            self.at(at, Event::Announce(Lifecycle::Cold, true));
+            self.at(at + warm_up, Event::Announce(Lifecycle::Serving, false));
+        }
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            self.now = at;
+            let event = self.events[id as usize].take().expect("each event happens once");
+            self.handle(event);
+        }
+        self.run.overburdened = self.servers.iter().map(|server| server.overburdened).sum();
+    }
+
+    fn at(&mut self, at: Duration, event: Event) {
+        self.queue.push(Reverse((at, self.events.len() as u64)));
+        self.events.push(Some(event));
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::AtOwner { req, server } => self.at_owner(req, server),
+            Event::Finish { req, server, ended, outcome } => {
+                self.finish(req, server, ended, outcome)
+            }
+            Event::Back { req, server, outcome, report } => self.back(req, server, outcome, report),
+            Event::ProbeAtOwner { ingress, server } => {
+                let report = self.servers[server].report();
+                let back = Event::ProbeBack { ingress, server, report };
+                self.after(one_way(ingress, server), back);
+            }
+            Event::ProbeBack { ingress, server, report } => {
+                let now = self.instant();
+                self.ingress[ingress].selector.on_probe(&node(server), Some(report), now);
+            }
+            Event::Tick => self.tick(),
+            Event::Announce(lifecycle, restarted) => {
+                let now = self.instant();
+                let slots = self.scenario.slots;
+                self.servers[0].limiter.on_announce(lifecycle, slots, restarted, now);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now >= self.scenario.end {
+            return;
+        }
+        let drawn: u32 = self.arrivals.random_range(0..100);
+        let ingress = self.arrivals.random_range(0..self.scenario.ingress_nodes);
+        let gap = -(1.0 - self.arrivals.random::<f64>()).ln() / self.scenario.rate(self.now);
+        self.after(Duration::from_secs_f64(gap), Event::Arrive);
+        let mut below = 0;
+        let kind = KINDS.iter().position(|kind| {
+            below += kind.percent;
+            drawn < below
+        });
+        let kind = kind.expect("percentages add up to 100");
+        let req = self.requests.len();
+        let arrived = self.now;
+        self.requests.push(Request { kind, ingress, arrived, tried: Vec::new(), sent: arrived });
+        self.run.records.push(Record { kind, arrived, answered: None });
+        self.ingress[ingress].retries.on_call();
+        self.ingress[ingress].measuring.on_call();
+        self.send(req);
+    }
+
+    fn deadline(&self, req: usize) -> Duration {
+        self.requests[req].arrived + KINDS[self.requests[req].kind].deadline
+    }
+
+    fn send(&mut self, req: usize) {
+        let now = self.instant();
+        let request = &mut self.requests[req];
+        let selector = &mut self.ingress[request.ingress].selector;
+        let Some(chosen) = selector.pick(&mut self.choice, &request.tried, None, now) else {
+            return;
+        };
+        request.sent = self.now;
+        let server = server_of(&chosen.node);
+        request.tried.push(chosen.node);
+        let delay = one_way(request.ingress, server);
+        self.after(delay, Event::AtOwner { req, server });
+    }
+
+    fn at_owner(&mut self, req: usize, server: usize) {
+        let now = self.instant();
+        let kind = KINDS[self.requests[req].kind];
+        let deadline = self.base + self.deadline(req);
+        let ask = Ask { ticket: req as u64, weight: kind.weight, depth: 0, deadline };
+        match self.servers[server].limiter.ask(ask, now) {
+            Admission::Run => self.start(req, server),
+            Admission::Wait => {
+                self.servers[server].waiting.insert(ask.ticket, req);
+            }
+            Admission::Refuse(kind) => self.answer(req, server, Outcome::NotRun(kind)),
+        }
+    }
+
+    fn start(&mut self, req: usize, server: usize) {
+        let (service_time, correct) = self.servers[server].start(&mut self.service, self.now);
+        let left = self.deadline(req).saturating_sub(self.now);
+        let (took, ended, outcome) = if service_time > left {
+            (
+                left,
+                self.servers[server].limiter.timed_out(left),
+                Outcome::Unknown(ErrorKind::UpstreamTimeout),
+            )
+        } else if correct {
+            (service_time, Ended::Success(service_time), Outcome::Done)
+        } else {
+            let lost = Outcome::Unknown(ErrorKind::ConnectionLost);
+            (service_time, Ended::Failure(service_time), lost)
+        };
+        self.after(took, Event::Finish { req, server, ended, outcome });
+    }
+
+    fn finish(&mut self, req: usize, server: usize, ended: Ended, outcome: Outcome) {
+        let now = self.instant();
+        if matches!(ended, Ended::Failure(_)) {
+            self.servers[server].failed += 1;
+        }
+        let decisions = self.servers[server].limiter.release(ended, now);
+        self.decide(server, decisions);
+        self.answer(req, server, outcome);
+    }
+
+    fn decide(&mut self, server: usize, decisions: Decisions) {
+        for decision in decisions {
+            let req = self.servers[server].waiting.remove(&decision.ticket);
+            let req = req.expect("a decision is for a waiting request");
+            match decision.admission {
+                Admission::Run => self.start(req, server),
+                Admission::Refuse(kind) => self.answer(req, server, Outcome::NotRun(kind)),
+                Admission::Wait => unreachable!("a decision ends the wait"),
+            }
+        }
+    }
+
+    fn answer(&mut self, req: usize, server: usize, outcome: Outcome) {
+        let report = self.servers[server].report();
+        let delay = one_way(self.requests[req].ingress, server);
+        self.after(delay, Event::Back { req, server, outcome, report });
+    }
+
+    fn back(&mut self, req: usize, server: usize, outcome: Outcome, report: LoadReport) {
+        let now = self.instant();
+        let request = &self.requests[req];
+        let ingress = &mut self.ingress[request.ingress];
+        let elapsed = self.now - request.sent;
+        ingress.selector.on_end(&node(server), outcome, elapsed, Some(report), now);
+        let in_time = self.now <= self.deadline(req);
+        let safety = KINDS[self.requests[req].kind].safety;
+        if outcome == Outcome::Done && in_time {
+            self.run.records[req].answered = Some(self.now - self.requests[req].arrived);
+            return;
+        }
+        let ingress = &mut self.ingress[self.requests[req].ingress];
+        if in_time && may_retry(outcome, safety) && ingress.retries.try_take(now) {
+            self.send(req);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.instant();
+        for server in 0..self.servers.len() {
+            let decisions = self.servers[server].limiter.expire(now);
+            self.decide(server, decisions);
+        }
+        for at in 0..self.ingress.len() {
+            let ingress = &mut self.ingress[at];
+            let Some(target) = ingress.selector.probe_target(now) else { continue };
+            if ingress.measuring.try_take(now) {
+                self.run.probes += 1;
+                let server = server_of(&target.node);
+                let probe = Event::ProbeAtOwner { ingress: at, server };
+                self.after(one_way(at, server), probe);
+            }
+        }
+        if self.now.as_secs() >= self.traced {
+            self.traced += 1;
+            let row = |s: &Server| (s.started, s.failed, s.limiter.limit());
+            self.run.trace.push(self.servers.iter().map(row).collect());
+        }
+        let waiting = self.servers.iter().any(|server| !server.waiting.is_empty());
+        if waiting || self.now < self.scenario.end {
+            self.after(TICK, Event::Tick);
+        }
+    }
+}
