--- a/crates/routing/src/limit/adapt.rs
+++ b/crates/routing/src/limit/adapt.rs
@@ -104,6 +104,12 @@
         *self = Self::new(self.adaptation, self.cold_limit as u32);
     }
 
+    /// Learns the baseline anew from the next window.
+    pub fn forget_baseline(&mut self) {
+        self.baseline = None;
+        self.window = Window::default();
+    }
+
     pub fn limit(&self) -> u32 {
         self.limit as u32
     }
--- a/crates/routing/tests/limit.rs
+++ b/crates/routing/tests/limit.rs
@@ -323,6 +323,24 @@
     assert_eq!((limiter.limit(), limiter.lifecycle()), (1, Lifecycle::Serving));
 }
 
+/// Guards against slow answers of the cold state that become the baseline of the warm one, and so
+/// hide a later rise of latency.
+#[test]
+fn cold_latency_is_not_the_warm_baseline() {
+    let mut now = Instant::now();
+    let mut limiter = Limiter::new(LimitConfig::default());
+    limiter.on_announce(Lifecycle::Cold, 6, true, now);
+    warm_up(&mut limiter, &mut now, 100, MS * 50);
+    limiter.on_announce(Lifecycle::Serving, 6, false, now);
+    warm_up(&mut limiter, &mut now, 100, MS * 10);
+    assert_eq!(limiter.limit(), 6);
+    for round in 0..8 {
+        let slower = Ended::Success(MS * 50);
+        run_round(&mut limiter, &mut now, (1 << 40) + (round << 10), slower, MS * 50);
+    }
+    assert_eq!(limiter.limit(), 1);
+}
+
 /// Guards against a restart that keeps the limit of the previous instance.
 #[test]
 fn restarted_instance_starts_cold_again() {
