Report the error budget as requests allowed to fail; keep the reserve only while used

Cause: a share of budget left below zero reads badly, and a reserve that is always kept costs a sixth of six slots in fleets without nested calls.

--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -40,9 +40,9 @@
         if allowed <= 0.0 { if bad > 0.0 { f64::INFINITY } else { 0.0 } } else { bad / allowed }
     }
 
-    /// Returns the share of the window's error budget that is left; negative when overspent.
-    pub fn budget_left(&self, objective_ppm: u32) -> f64 {
-        1.0 - self.burn_rate(objective_ppm)
+    /// Returns the window's error budget: how many requests the objective allows to fail.
+    pub fn allowed(&self, objective_ppm: u32) -> f64 {
+        self.total as f64 * (1.0 - f64::from(objective_ppm) / PPM)
     }
 
     fn add(&mut self, other: &Self) {
--- a/crates/routing/src/limit/types.rs
+++ b/crates/routing/src/limit/types.rs
@@ -8,13 +8,13 @@
 /// When part of the limit is kept for deeper calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reserve {
-    /// Always.
-    #[default]
+    /// Always. On six slots this costs a sixth of the capacity.
     Always,
     /// From a deeper call until a minute after the last one.
     ///
     /// The first deeper call after a quiet time may find no slot. Its wait is bounded, so this
     /// delays the chain but cannot block it.
+    #[default]
     WhileUsed,
     /// Never, for services that no other service calls.
     Never,
--- a/src/report/html.rs
+++ b/src/report/html.rs
@@ -52,22 +52,21 @@
 
 fn table(page: &mut String, report: &KindReport) {
     page.push_str(
-        "<table><tr><th>window</th><th>requests</th><th>failed</th><th>burn rate</th>\
-         <th>budget left</th><th>burned by</th></tr>\n",
+        "<table><tr><th>window</th><th>requests</th><th>allowed to fail</th><th>failed</th>\
+         <th>burn rate</th><th>burned by</th></tr>\n",
     );
     for window in &report.windows {
         let burn = window.burn_rate(report.objective_ppm);
         let class = if burn > 1.0 { " class=\"over\"" } else { "" };
-        let left = window.budget_left(report.objective_ppm);
-        let left = if left.is_finite() { format!("{:.1}%", left * 100.0) } else { "none".into() };
         let burned: Vec<_> =
             causes(window).iter().map(|(cause, n)| format!("{} {n}", cause.label())).collect();
         let _ = writeln!(
             page,
-            "<tr><td>{}</td><td>{}</td><td>{}</td><td{class}>{}</td><td{class}>{left}</td>\
+            "<tr><td>{}</td><td>{}</td><td>{:.1}</td><td>{}</td><td{class}>{}</td>\
              <td>{}</td></tr>",
             window_name(window.seconds),
             window.total,
+            window.allowed(report.objective_ppm),
             window.bad_total(),
             rate(burn),
             burned.join(", "),
@@ -113,7 +112,7 @@
         .light_line_style(WHITE)
         .x_desc("minutes ago")
         .y_desc("burn rate")
-        .x_label_formatter(&|x| format!("{:.0}", -x))
+        .x_label_formatter(&|x| format!("{:.0}", x.abs()))
         .draw()
         .map_err(into_io)?;
     let allowed = [(-span, 1.0), (0.0, 1.0)];
--- a/src/report/text.rs
+++ b/src/report/text.rs
@@ -30,22 +30,20 @@
 fn render_kind(text: &mut String, report: &KindReport) {
     let _ = writeln!(
         text,
-        "  {:>7} {:>10} {:>8} {:>10} {:>12}  burned by",
-        "window", "requests", "failed", "burn rate", "budget left"
+        "  {:>7} {:>10} {:>8} {:>8} {:>10}  burned by",
+        "window", "requests", "allowed", "failed", "burn rate"
     );
     for window in &report.windows {
         let burned: Vec<_> =
             causes(window).iter().map(|(cause, n)| format!("{} {n}", cause.label())).collect();
-        let left = window.budget_left(report.objective_ppm);
-        let left = if left.is_finite() { format!("{:.1}%", left * 100.0) } else { "none".into() };
         let _ = writeln!(
             text,
-            "  {:>7} {:>10} {:>8} {:>10} {:>12}  {}",
+            "  {:>7} {:>10} {:>8.1} {:>8} {:>10}  {}",
             window_name(window.seconds),
             window.total,
+            window.allowed(report.objective_ppm),
             window.bad_total(),
             rate(window.burn_rate(report.objective_ppm)),
-            left,
             if burned.is_empty() { "-".to_owned() } else { burned.join(", ") },
         );
     }
