--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -172,6 +172,9 @@
         let elapsed = self.clock.now().saturating_duration_since(slot.started);
         slot.ended = match &result {
             Ok(answer) if answer.status < 500 => Ended::Success(elapsed),
+            Err(Outcome::Unknown(ErrorKind::UpstreamTimeout)) => {
+                self.lock().limiter.timed_out(elapsed)
+            }
             Ok(_) | Err(Outcome::Unknown(_)) => Ended::Failure(elapsed),
             Err(Outcome::NotRun(ErrorKind::ConnectFailed)) => Ended::Failure(elapsed),
             Err(_) => Ended::Ignored,
--- a/tests/testsuite/dataplane/faults.rs
+++ b/tests/testsuite/dataplane/faults.rs
@@ -328,3 +328,35 @@
         }
     });
 }
+
+/// Guards against waiting requests that are forgotten when a slot comes free or their client goes.
+#[test]
+fn waiting_requests_get_the_slots_that_come_free() {
+    block_on(async {
+        let member = single(config("alone")).await;
+        announce_slots(&member.node, member.upstream.address, "serving", 3).await;
+        let address = member.node.client_addr();
+        let request = b"GET /kettle/temper?sleep=100 HTTP/1.1\r\nhost: n\r\n\r\n";
+        let mut clients = Vec::new();
+        for _ in 0..8 {
+            let client = Client::connect(address).await;
+            (&client.stream).write_all(request).await.unwrap();
+            clients.push(client);
+        }
+        task::sleep(Duration::from_millis(50)).await;
+        let load = member.node.owner().load();
+        // A part of the slots is reserved for deeper calls.
+        assert_eq!(load.in_flight + load.queued, 8, "{load:?}");
+        assert!((1..=3).contains(&load.in_flight), "{load:?}");
+        // Some that run and some that wait.
+        clients.remove(7);
+        clients.remove(4);
+        clients.remove(1);
+        clients.remove(0);
+        for mut client in clients {
+            assert_eq!(client.read().await.unwrap().status(), 200);
+        }
+        eventually("nothing is left", || !member.node.owner().is_busy()).await;
+        assert!(member.upstream.record.cancelled() >= 1);
+    });
+}
--- a/tests/testsuite/dataplane/fleet.rs
+++ b/tests/testsuite/dataplane/fleet.rs
@@ -238,9 +238,18 @@
 }
 
 pub async fn announce(node: &Node<SystemClock>, address: SocketAddr, state: &str) -> u16 {
+    announce_slots(node, address, state, 64).await
+}
+
+pub async fn announce_slots(
+    node: &Node<SystemClock>,
+    address: SocketAddr,
+    state: &str,
+    slots: u32,
+) -> u16 {
     let body = json!({
         "service": "kettle", "version": "v1", "instance": "one", "address": address,
-        "slots": 64, "state": state,
+        "slots": slots, "state": state,
     });
     let mut client = Client::connect(node.operator_addr()).await;
     client.send("POST", "/announce", &[], body.to_string().as_bytes()).await.status()
