Keep the members of a lost zone instead of failing them

Cause: the loss of a zone of 1,000 in a network of 1,500 made 572,690 failures and did not heal within 60 s. A node learns about 70 suspicions a second, so a majority of a large zone was not seen before the first members counted as failed.

A zone is now checked with eight pings of its own from 5% suspects on, or on another node's word, which is pushed at once. Suspects wait longer while many members of the fleet are suspect or several own pings were not answered.

Ruled out: a longer suspicion for all members, which delays every failure.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -142,6 +142,8 @@
     pulled_at: Option<Instant>,
     last_tick: Instant,
     last_ack: Instant,
+    /// Results of the latest pings of the round, newest in the lowest bit; 1 is silence.
+    silences: u8,
     next_probe: Instant,
     next_sync: Instant,
     next_departed: Instant,
@@ -177,6 +179,7 @@
             pulled_at: None,
             last_tick: now,
             last_ack: now,
+            silences: 0,
             next_probe: now + offset,
             next_sync: now + sync::INTERVAL.mul_f64(rng.random::<f64>()),
             next_departed: now + probe::DEPARTED_INTERVAL,
--- a/crates/fleet/src/membership/merge.rs
+++ b/crates/fleet/src/membership/merge.rs
@@ -150,7 +150,8 @@
             .collect();
         let related = self.related_zones(&due, now);
         // A partition shows as suspects in many zones before any one zone has several.
-        let widespread = zones::are_related(self.suspects.len(), self.table.present());
+        let widespread =
+            zones::are_related(self.suspects.len(), self.table.present()) || self.hears_few();
         for (slot, since) in due {
             let Some(entry) = self.table.entry(slot) else { continue };
             let zone = &entry.record.zone;
--- a/crates/fleet/src/membership/outage.rs
+++ b/crates/fleet/src/membership/outage.rs
@@ -52,15 +52,13 @@
         (suspects, members)
     }
 
-    /// Checks whether a zone is unreachable if the suspicions, or some and another node's word,
-    /// speak for it.
+    /// Checks whether a zone is unreachable if suspicions or another node's word speak for it.
     pub(super) fn consider_zone(&mut self, zone: &ZoneName, now: Instant) {
         if !self.zones.may_check(zone, now) {
             return;
         }
         let (suspects, members) = self.zone_suspects(zone, now);
-        let told = self.zones.has_word(zone, now) && zones::are_related(suspects, members);
-        if !told && !zones::is_outage(suspects, members) {
+        if !self.zones.has_word(zone, now) && !zones::needs_check(suspects, members) {
             return;
         }
         self.zones.begin_check(zone, now);
@@ -104,6 +102,7 @@
         // The suspicions no longer spread, so slower nodes are told of their sum.
         self.rumours.add(Rumour::ZoneSilent(zone.clone()));
         self.view(ViewChange::ZoneUnreachable(zone.clone()));
+        self.push(PUSH_FANOUT);
     }
 
     /// Takes in another node's word that a zone is unreachable from there.
--- a/crates/fleet/src/membership/probe.rs
+++ b/crates/fleet/src/membership/probe.rs
@@ -147,6 +147,11 @@
             && now.saturating_duration_since(self.last_ack) > OWN_FAULT_AFTER
     }
 
+    /// Returns whether several of the latest four pings got no answer.
+    pub(super) fn hears_few(&self) -> bool {
+        (self.silences & 0b1111).count_ones() >= 2
+    }
+
     fn heard_from(&mut self, slot: Slot, now: Instant) {
         self.table.touch(slot, now);
         let Some(entry) = self.table.entry(slot) else { return };
@@ -185,7 +190,10 @@
                 let body = Body::Ack { sequence, indirect: true };
                 self.out.push(Action::Send { to, node: Some(node), body, introduce: false });
             }
-            Kind::Round { slot, .. } => self.answered(slot, now),
+            Kind::Round { slot, .. } => {
+                self.silences <<= 1;
+                self.answered(slot, now);
+            }
             Kind::Other => {}
         }
         if let Some(slot) = sender.filter(|_| !indirect) {
@@ -274,6 +282,7 @@
             self.ask_others(sequence, slot);
         }
         for slot in silent {
+            self.silences = self.silences << 1 | 1;
             if !self.is_own_fault(now) {
                 self.suspect(slot, now);
             }
--- a/crates/fleet/src/membership/zones.rs
+++ b/crates/fleet/src/membership/zones.rs
@@ -41,9 +41,10 @@
 /// Window within which these answers must come.
 const ANSWER_WINDOW: Duration = Duration::from_secs(12);
 
-/// Time for which a zone that answered a check is not checked again; its suspects are then
-/// members that really failed.
-const PARTIAL_TIME: Duration = Duration::from_secs(30);
+/// Time for which a zone that answered a check is not checked again. It is shorter than the time
+/// that related suspects have, so that a zone that is lost soon after a part of it is checked
+/// before its members count as failed.
+const PARTIAL_TIME: Duration = Duration::from_secs(5);
 
 /// Time for which another node's word that a zone is unreachable counts.
 const WORD_TIME: Duration = Duration::from_secs(30);
@@ -72,9 +73,12 @@
     words: BTreeMap<ZoneName, Instant>,
 }
 
-/// Returns whether most of a zone's members are suspect.
-pub fn is_outage(suspects: usize, members: usize) -> bool {
-    members >= MEMBERS_MIN && suspects * 2 > members
+/// Returns whether a zone is to be checked: most of its members are suspect, or so many that their
+/// suspicions are related. Waiting for a majority takes too long in a large zone: a node learns
+/// about 70 suspicions a second.
+pub fn needs_check(suspects: usize, members: usize) -> bool {
+    let most = suspects * 2 > members;
+    members >= MEMBERS_MIN && (most || are_related(suspects, members))
 }
 
 /// Returns whether so many members are suspect that their suspicions are probably one event;
