--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -35,6 +35,9 @@
 /// Members pinged at once while the node is stale.
 const STALE_PINGS: usize = 3;
 
+/// Room for rumours on a push; it carries what is new, and pings spread the rest.
+const PUSH_RUMOUR_BYTES: usize = 300;
+
 /// Room kept for the lengths of the lists on a datagram.
 const LENGTH_BYTES: usize = 6;
 
@@ -326,6 +329,7 @@
         let mut room = DATAGRAM_MAX_BYTES.saturating_sub(used);
         if pushes {
             datagram.changes = self.latest_changes(&mut room);
+            room = room.min(PUSH_RUMOUR_BYTES);
         }
         datagram.rumours = self.membership.rumours_for(node, introduce, room);
         codec::encode(&datagram)
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -62,7 +62,7 @@
 /// A longer gap between ticks means that the process was paused.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// A node that got no answer for this long suspects nobody, since the fault is probably its own.
+/// A node that heard no member for this long suspects nobody, since the fault is probably its own.
 const OWN_FAULT_AFTER: Duration = Duration::from_secs(3);
 
 /// Members from which on the rule above holds; in smaller fleets all others may well be gone.
@@ -141,7 +141,7 @@
     plan: Option<PullPlan>,
     pulled_at: Option<Instant>,
     last_tick: Instant,
-    last_ack: Instant,
+    last_heard: Instant,
     /// Results of the latest pings of the round, newest in the lowest bit; 1 is silence.
     silences: u8,
     next_probe: Instant,
@@ -178,7 +178,7 @@
             plan: None,
             pulled_at: None,
             last_tick: now,
-            last_ack: now,
+            last_heard: now,
             silences: 0,
             next_probe: now + offset,
             next_sync: now + sync::INTERVAL.mul_f64(rng.random::<f64>()),
--- a/crates/fleet/src/membership/probe.rs
+++ b/crates/fleet/src/membership/probe.rs
@@ -93,7 +93,7 @@
         self.pending.clear();
         self.zones.drop_checks();
         self.next_probe = now;
-        self.last_ack = now;
+        self.last_heard = now;
         for since in self.suspects.values_mut() {
             *since += gap;
         }
@@ -144,7 +144,7 @@
     /// Returns whether this node hears nobody although it should.
     pub(super) fn is_own_fault(&self, now: Instant) -> bool {
         self.table.present() >= OWN_FAULT_MEMBERS
-            && now.saturating_duration_since(self.last_ack) > OWN_FAULT_AFTER
+            && now.saturating_duration_since(self.last_heard) > OWN_FAULT_AFTER
     }
 
     /// Returns whether several of the latest four pings got no answer.
@@ -153,6 +153,7 @@
     }
 
     fn heard_from(&mut self, slot: Slot, now: Instant) {
+        self.last_heard = now;
         self.table.touch(slot, now);
         let Some(entry) = self.table.entry(slot) else { return };
         let zone = entry.record.zone.clone();
@@ -184,7 +185,6 @@
         now: Instant,
     ) -> Option<Answered> {
         let pending = self.pending.remove(&sequence)?;
-        self.last_ack = now;
         match pending.kind {
             Kind::Relay { to, node, sequence } => {
                 let body = Body::Ack { sequence, indirect: true };
