--- a/crates/fleet/src/membership/probe.rs
+++ b/crates/fleet/src/membership/probe.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use oleandertiller_model::{NodeName, ZoneName};
+use oleandertiller_model::NodeName;
 use rand::{Rng, seq::SliceRandom};
 
 use super::{
@@ -78,9 +78,7 @@
         }
         self.ping_seeds(now);
         self.ping_departed(now);
-        for zone in self.zones.due(now) {
-            self.ping_zone(&zone, 1, now);
-        }
+        self.tick_zones(now);
         self.tick_sync(now);
     }
 
@@ -93,8 +91,9 @@
         }
         self.last_tick = now;
         self.pending.clear();
+        self.zones.drop_checks();
         self.next_probe = now;
-        self.last_ack = now;
+        self.last_heard = now;
         for since in self.suspects.values_mut() {
             *since += gap;
         }
@@ -145,10 +144,16 @@
     /// Returns whether this node hears nobody although it should.
     pub(super) fn is_own_fault(&self, now: Instant) -> bool {
         self.table.present() >= OWN_FAULT_MEMBERS
-            && now.saturating_duration_since(self.last_ack) > OWN_FAULT_AFTER
+            && now.saturating_duration_since(self.last_heard) > OWN_FAULT_AFTER
+    }
+
+    /// Returns whether several of the latest four pings got no answer.
+    pub(super) fn hears_few(&self) -> bool {
+        (self.silences & 0b1111).count_ones() >= 2
     }
 
     fn heard_from(&mut self, slot: Slot, now: Instant) {
+        self.last_heard = now;
         self.table.touch(slot, now);
         let Some(entry) = self.table.entry(slot) else { return };
         let zone = entry.record.zone.clone();
@@ -180,13 +185,15 @@
         now: Instant,
     ) -> Option<Answered> {
         let pending = self.pending.remove(&sequence)?;
-        self.last_ack = now;
         match pending.kind {
             Kind::Relay { to, node, sequence } => {
                 let body = Body::Ack { sequence, indirect: true };
                 self.out.push(Action::Send { to, node: Some(node), body, introduce: false });
             }
-            Kind::Round { slot, .. } => self.answered(slot, now),
+            Kind::Round { slot, .. } => {
+                self.silences <<= 1;
+                self.answered(slot, now);
+            }
             Kind::Other => {}
         }
         if let Some(slot) = sender.filter(|_| !indirect) {
@@ -232,6 +239,11 @@
         slot != self.local && entry.record.is_present() && !cut_off
     }
 
+    /// Pings a member; silence has no effect.
+    pub(super) fn ping_silently(&mut self, slot: Slot, now: Instant) {
+        self.ping(slot, Kind::Other, now);
+    }
+
     fn ping(&mut self, slot: Slot, kind: Kind, now: Instant) {
         let sequence = self.expect(kind, now);
         self.send(slot, Body::Ping { sequence });
@@ -270,6 +282,7 @@
             self.ask_others(sequence, slot);
         }
         for slot in silent {
+            self.silences = self.silences << 1 | 1;
             if !self.is_own_fault(now) {
                 self.suspect(slot, now);
             }
@@ -315,20 +328,4 @@
         let slot = failed[self.rng.random_range(0..failed.len())];
         self.ping(slot, Kind::Other, now);
     }
-
-    /// Pings random members of an unreachable zone.
-    pub(super) fn ping_zone(&mut self, zone: &ZoneName, count: usize, now: Instant) {
-        let slots = self.table.slots_of_zone(zone);
-        if slots.is_empty() {
-            return;
-        }
-        let rng = &mut self.rng;
-        let chosen: Vec<Slot> =
-            (0..count).map(|_| slots[rng.random_range(0..slots.len())]).collect();
-        for slot in chosen {
-            if slot != self.local {
-                self.ping(slot, Kind::Other, now);
-            }
-        }
-    }
 }
