Use one explorer for the ledger and the agreement

Cause: two breadth-first explorers stood in the tree with the same job. Ruled out: hashing states only, since the agreement's states need a digest of their own and some of its steps violate an invariant by themselves.

--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -1,28 +1,32 @@
 //! Exhaustive breadth-first exploration of small models.
 //!
-//! A model names its initial states, the events that are possible in a state and the state that
-//! follows. [`explore`] visits every reachable state once and reports the shortest sequence of
-//! events that leads to a violated invariant.
+//! A model names its initial states and the steps that are possible in a state. [`explore`] visits
+//! every reachable state once and reports the shortest sequence of steps that leads to a violated
+//! invariant.
 
 use std::{collections::HashMap, fmt::Debug, hash::Hash};
 
 use xxhash_rust::xxh3::Xxh3;
 
+/// An event with the state after it, or with the invariant that it violates.
+pub type Step<M> = (<M as Model>::Event, Result<<M as Model>::State, String>);
+
 /// A system that can be explored.
 pub trait Model {
     /// State of the whole system.
-    type State: Clone + Hash;
+    type State: Clone;
     /// Something that can happen.
     type Event: Clone + Debug;
 
     /// Returns the states to start from.
     fn initial(&self) -> Vec<Self::State>;
 
-    /// Returns the events that are possible in `state`.
-    fn events(&self, state: &Self::State) -> Vec<Self::Event>;
+    /// Returns every event that is possible in `state`, with the state after it, or with the
+    /// invariant that the event itself violates.
+    fn steps(&self, state: &Self::State) -> Vec<Step<Self>>;
 
-    /// Returns the state after `event`.
-    fn next(&self, state: &Self::State, event: &Self::Event) -> Self::State;
+    /// Returns a digest that is equal only for states that behave alike; see [`digest`].
+    fn fingerprint(&self, state: &Self::State) -> u128;
 
     /// Checks the invariants.
     ///
@@ -56,52 +60,67 @@
 
 struct Visit<E> {
     parent: Option<(u128, E)>,
+}
+
+/// Returns the digest of a value whose `Hash` covers everything that matters.
+pub fn digest<T: Hash + ?Sized>(value: &T) -> u128 {
+    let mut hasher = Xxh3::new();
+    value.hash(&mut hasher);
+    hasher.digest128()
+}
+
+struct Exploration<E> {
+    visits: HashMap<u128, Visit<E>>,
     depth: usize,
 }
 
+impl<E: Clone> Exploration<E> {
+    fn report(self, complete: bool, violation: Option<Violation<E>>) -> Report<E> {
+        Report { states: self.visits.len(), depth: self.depth, complete, violation }
+    }
+
+    fn violated(self, id: u128, last: Option<E>, message: String) -> Report<E> {
+        let mut trace = trace(&self.visits, id);
+        trace.extend(last);
+        self.report(false, Some(Violation { message, trace }))
+    }
+}
+
 /// Explores `model` until a violation, the end, or `max_states` states.
-///
-/// States are told apart by a 128-bit hash, so their `Hash` must cover everything that matters.
 pub fn explore<M: Model>(model: &M, max_states: usize) -> Report<M::Event> {
-    let mut visits: HashMap<u128, Visit<M::Event>> = HashMap::new();
+    let mut found = Exploration { visits: HashMap::new(), depth: 0 };
     let mut layer: Vec<(u128, M::State)> = Vec::new();
     for state in model.initial() {
-        let id = fingerprint(&state);
-        visits.insert(id, Visit { parent: None, depth: 0 });
+        let id = model.fingerprint(&state);
+        found.visits.insert(id, Visit { parent: None });
         layer.push((id, state));
     }
-    let mut depth = 0;
     while !layer.is_empty() {
         let mut following = Vec::new();
         for (id, state) in layer {
             if let Err(message) = model.check(&state) {
-                let violation = Some(Violation { message, trace: trace(&visits, id) });
-                return Report { states: visits.len(), depth, complete: false, violation };
+                return found.violated(id, None, message);
             }
-            for event in model.events(&state) {
-                let next = model.next(&state, &event);
-                let next_id = fingerprint(&next);
-                if visits.contains_key(&next_id) {
+            for (event, next) in model.steps(&state) {
+                let next = match next {
+                    Ok(next) => next,
+                    Err(message) => return found.violated(id, Some(event), message),
+                };
+                let next_id = model.fingerprint(&next);
+                if found.visits.contains_key(&next_id) {
                     continue;
                 }
-                visits.insert(next_id, Visit { parent: Some((id, event)), depth: depth + 1 });
+                found.visits.insert(next_id, Visit { parent: Some((id, event)) });
                 following.push((next_id, next));
             }
-            if visits.len() > max_states {
-                return Report { states: visits.len(), depth, complete: false, violation: None };
+            if found.visits.len() > max_states {
+                return found.report(false, None);
             }
         }
+        found.depth += usize::from(!following.is_empty());
         layer = following;
-        depth += 1;
     }
-    let depth = visits.values().map(|visit| visit.depth).max().unwrap_or(0);
-    Report { states: visits.len(), depth, complete: true, violation: None }
-}
-
-fn fingerprint<S: Hash>(state: &S) -> u128 {
-    let mut hasher = Xxh3::new();
-    state.hash(&mut hasher);
-    hasher.digest128()
+    found.report(true, None)
 }
 
 fn trace<E: Clone>(visits: &HashMap<u128, Visit<E>>, mut id: u128) -> Vec<E> {
--- a/crates/explore/tests/explore.rs
+++ b/crates/explore/tests/explore.rs
@@ -1,6 +1,6 @@
 //! The explorer visits every state and finds the shortest violation.
 
-use oleandertiller_explore::{Model, explore};
+use oleandertiller_explore::{Model, Step, digest, explore};
 
 /// A counter that may grow by one or two up to `top`, and must not reach `forbidden`.
 struct Counter {
@@ -16,12 +16,13 @@
         vec![0]
     }
 
-    fn events(&self, state: &u32) -> Vec<u32> {
-        [1, 2].into_iter().filter(|step| state + step <= self.top).collect()
+    fn steps(&self, state: &u32) -> Vec<Step<Self>> {
+        let steps = [1, 2].into_iter().filter(|step| state + step <= self.top);
+        steps.map(|step| (step, Ok(state + step))).collect()
     }
 
-    fn next(&self, state: &u32, event: &u32) -> u32 {
-        state + event
+    fn fingerprint(&self, state: &u32) -> u128 {
+        digest(state)
     }
 
     fn check(&self, state: &u32) -> Result<(), String> {
@@ -45,3 +46,37 @@
     assert_eq!(trace.len(), 3);
     assert_eq!(trace.iter().sum::<u32>(), 5);
 }
+
+/// A model whose only event violates an invariant by itself.
+struct Broken;
+
+impl Model for Broken {
+    type State = u32;
+    type Event = &'static str;
+
+    fn initial(&self) -> Vec<u32> {
+        vec![0]
+    }
+
+    fn steps(&self, _: &u32) -> Vec<Step<Self>> {
+        vec![("answer", Err("the answer is wrong".into()))]
+    }
+
+    fn fingerprint(&self, state: &u32) -> u128 {
+        digest(state)
+    }
+
+    fn check(&self, _: &u32) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+/// Guards against a violation that only the event shows and that is lost.
+#[test]
+fn reports_events_that_violate_an_invariant() {
+    let violation = explore(&Broken, 10).violation.expect("the event is a violation");
+    assert_eq!(
+        (violation.message.as_str(), violation.trace),
+        ("the answer is wrong", vec!["answer"])
+    );
+}
--- a/crates/fleet/tests/fleet/agreement.rs
+++ b/crates/fleet/tests/fleet/agreement.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use oleandertiller_explore::{Model, digest};
 use oleandertiller_fleet::{
     Command, CommandOutcome, Replica, Step, StoreAnswer, StoreCall, Watcher, intent::HEAD_KEY,
 };
@@ -13,7 +14,7 @@
 use rand::{SeedableRng, rngs::StdRng};
 use uuid::Uuid;
 
-use crate::{explorer::Model, store::MemoryStore};
+use crate::store::MemoryStore;
 
 const DEADLINE: Duration = Duration::from_secs(10);
 
@@ -287,14 +288,15 @@
 
 impl Model for Agreement {
     type State = State;
+    type Event = String;
 
-    fn initial(&self) -> State {
+    fn initial(&self) -> Vec<State> {
         let writers = [0, 1].map(|i| {
             let mut command = self.command(operation(i), 10 + i as u32);
             let step = command.start();
             writer(step, command)
         });
-        State {
+        vec![State {
             store: self.seeded_store(),
             writers,
             delayed: Vec::new(),
@@ -307,10 +309,10 @@
             pulls: self.pulls,
             faults: self.faults,
             crashes: 1,
-        }
+        }]
     }
 
-    fn key(&self, state: &State) -> String {
+    fn fingerprint(&self, state: &State) -> u128 {
         let writers = state.writers.iter().map(|writer| match writer {
             Writer::Asking(command, _) => format!("asking {command:?}"),
             Writer::Waiting(command) => format!("waiting {command:?}"),
@@ -336,7 +338,7 @@
         });
         let recent = state.store.history.iter().skip(self.start as usize).collect::<Vec<_>>();
         let bases: Vec<_> = state.store.keys.keys().collect();
-        format!(
+        let text = format!(
             "{:?}|{:?}|{:?}|{answer:?}|{:?}|{:?}|{recent:?}|{bases:?}|{:?}|{:?}|{} {} {} {}",
             writers.collect::<Vec<_>>(),
             delayed.collect::<Vec<_>>(),
@@ -349,7 +351,8 @@
             state.pulls,
             state.faults,
             state.crashes,
-        )
+        );
+        digest(&text)
     }
 
     fn steps(&self, state: &State) -> Vec<(String, Result<State, String>)> {
--- a/crates/fleet/tests/fleet/exploration.rs
+++ b/crates/fleet/tests/fleet/exploration.rs
@@ -1,16 +1,17 @@
 //! Exhaustive exploration of the agreement. The mutants show that the checks see the faults that
 //! they are there for. `FLEET_EXPLORE_FAULTS` sets the number of lost answers.
 
-use crate::{
-    agreement::{Agreement, Mutant},
-    explorer::{Explored, explore},
-};
+use oleandertiller_explore::explore;
 
-fn explore_all(model: &Agreement) -> Explored {
-    let explored = explore(model, 10_000_000);
-    let explored = explored.unwrap_or_else(|found| panic!("{found:#?}"));
-    println!("start {}, faults {}: {explored:?}", model.start, model.faults);
-    explored
+use crate::agreement::{Agreement, Mutant};
+
+/// Explores every state and returns how many there are.
+fn explore_all(model: &Agreement) -> usize {
+    let report = explore(model, 10_000_000);
+    assert!(report.violation.is_none(), "{:#?}", report.violation);
+    assert!(report.complete, "more than {} states", report.states);
+    println!("start {}, faults {}: {} states", model.start, model.faults, report.states);
+    report.states
 }
 
 /// Returns the number of lost answers; CI explores one.
@@ -23,7 +24,7 @@
 #[test]
 fn agreement_holds_from_an_empty_store() {
     let model = Agreement::new(Mutant::None, 0, faults().unwrap_or(1));
-    assert!(explore_all(&model).states > 1_000);
+    assert!(explore_all(&model) > 1_000);
 }
 
 /// Guards against faults between the write of a base document and of the head that refers to it.
@@ -34,13 +35,13 @@
         // Heads of 64 changes are slow to handle; the other test explores the second reader.
         (model.reads, model.pulls) = (1, 0);
     }
-    assert!(explore_all(&model).states > 1_000);
+    assert!(explore_all(&model) > 1_000);
 }
 
 fn assert_caught(mutant: Mutant, expected: &str) {
-    let found = explore(&Agreement::new(mutant, 0, 2), 2_000_000);
-    let found = found.expect_err("the mutant must be caught");
-    assert!(found.fault.contains(expected), "{found:#?}");
+    let report = explore(&Agreement::new(mutant, 0, 2), 2_000_000);
+    let found = report.violation.expect("the mutant must be caught");
+    assert!(found.message.contains(expected), "{found:#?}");
 }
 
 /// Shows that the exploration sees a reader that applies old changes.
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,7 +3,6 @@
 mod agreement;
 mod entries;
 mod exploration;
-mod explorer;
 mod membership;
 mod properties;
 mod store;
--- a/crates/routing/tests/ledger_model.rs
+++ b/crates/routing/tests/ledger_model.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant, SystemTime},
 };
 
-use oleandertiller_explore::{Model, Report, explore};
+use oleandertiller_explore::{Model, Report, Step, digest, explore};
 use oleandertiller_model::{
     Action, Change, IdempotencyKey, Intent, ServiceName,
     intent::{Keeper, KeeperSet},
@@ -213,26 +213,6 @@
         let made = self.key.created().is_none_or(|created| created <= self.wall(state));
         made && state.first_arrival.is_none_or(|first| state.ticks - first <= 2)
     }
-}
-
-impl Model for Keepers {
-    type State = State;
-    type Event = Event;
-
-    fn initial(&self) -> Vec<State> {
-        let mut state = State {
-            intent: Intent::default(),
-            sets: vec![KeeperSet::default()],
-            processes: (0..self.nodes).map(|node| self.process(node, 1)).collect(),
-            in_flight: None,
-            ticks: 0,
-            first_arrival: None,
-            runs: 0,
-            changes: 0,
-        };
-        self.put(&mut state, 0);
-        vec![state]
-    }
 
     fn events(&self, state: &State) -> Vec<Event> {
         let mut events = Vec::new();
@@ -319,6 +299,35 @@
         }
         state
     }
+}
+
+impl Model for Keepers {
+    type State = State;
+    type Event = Event;
+
+    fn initial(&self) -> Vec<State> {
+        let mut state = State {
+            intent: Intent::default(),
+            sets: vec![KeeperSet::default()],
+            processes: (0..self.nodes).map(|node| self.process(node, 1)).collect(),
+            in_flight: None,
+            ticks: 0,
+            first_arrival: None,
+            runs: 0,
+            changes: 0,
+        };
+        self.put(&mut state, 0);
+        vec![state]
+    }
+
+    fn steps(&self, state: &State) -> Vec<Step<Self>> {
+        let events = self.events(state).into_iter();
+        events.map(|event| (event.clone(), Ok(self.next(state, &event)))).collect()
+    }
+
+    fn fingerprint(&self, state: &State) -> u128 {
+        digest(state)
+    }
 
     fn check(&self, state: &State) -> Result<(), String> {
         if state.runs <= 1 { Ok(()) } else { Err(format!("the key ran {} times", state.runs)) }
