--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 mod attempts;
+mod keyed;
 pub mod request;
 pub mod route;
 
@@ -15,7 +16,6 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwap;
 use async_channel::{Receiver, Recv};
 use async_h1::server;
 use async_std::{
@@ -38,8 +38,8 @@
     route::{RouteMaker, Routes},
 };
 use crate::node::{
-    config::NodeConfig, conn::Conn, inner::client::InnerClient, metrics::Metrics, owner::Owner,
-    timer::Timers, view::ViewCell,
+    config::NodeConfig, conn::Conn, inner::client::InnerClient, keys::Keys, metrics::Metrics,
+    owner::Owner, timer::Timers, view::ViewCell,
 };
 
 /// Pause after a failed accept, such as for want of file descriptors.
@@ -54,13 +54,23 @@
     metrics: Metrics,
     owner: Arc<Owner<C>>,
     client: Arc<InnerClient<C>>,
-    maker: RouteMaker,
-    routes: ArcSwap<Routes>,
+    keys: Arc<Keys<C>>,
+    routes: Routes,
     budget: Mutex<Budget>,
     clients: AtomicUsize,
     active: AtomicUsize,
 }
 
+/// Where the client port sends requests.
+pub struct Destinations<C> {
+    /// Owner of the local upstream.
+    pub owner: Arc<Owner<C>>,
+    /// Connections to other nodes.
+    pub client: Arc<InnerClient<C>>,
+    /// Ledger of the node's service.
+    pub keys: Arc<Keys<C>>,
+}
+
 /// Counts one thing while it lasts.
 struct Counted<'a>(&'a AtomicUsize);
 
@@ -91,6 +101,7 @@
     id: Uuid,
     body: BodyKind,
     asked: Result<Asked, ErrorKind>,
+    fresh: bool,
     expects_continue: bool,
     close: bool,
 }
@@ -103,9 +114,9 @@
         view: ViewCell,
         timers: Timers,
         metrics: Metrics,
-        owner: Arc<Owner<C>>,
-        client: Arc<InnerClient<C>>,
+        routes_to: Destinations<C>,
     ) -> Self {
+        let Destinations { owner, client, keys } = routes_to;
         let selection = cfg.selection.clone();
         let maker = RouteMaker { selection, zone: cfg.zone.clone(), metrics: metrics.clone() };
         let retry = cfg.retry;
@@ -118,8 +129,8 @@
             metrics,
             owner,
             client,
-            maker,
-            routes: ArcSwap::from_pointee(Routes::empty()),
+            keys,
+            routes: Routes::new(maker),
             budget: Mutex::new(budget),
             clients: AtomicUsize::new(0),
             active: AtomicUsize::new(0),
@@ -165,7 +176,11 @@
         }
     }
 
-    async fn one_request(&self, conn: &Conn, stopped: Pin<&mut Recv<'_, ()>>) -> io::Result<Next> {
+    async fn one_request(
+        self: &Arc<Self>,
+        conn: &Conn,
+        stopped: Pin<&mut Recv<'_, ()>>,
+    ) -> io::Result<Next> {
         let idle_end = self.clock.now() + self.cfg.idle_timeout;
         let waiting = pin!(conn.wait_input());
         let input = select(waiting, stopped);
@@ -189,14 +204,14 @@
         }
     }
 
-    async fn request(&self, conn: &Conn, mut req: Request) -> io::Result<Next> {
+    async fn request(self: &Arc<Self>, conn: &Conn, mut req: Request) -> io::Result<Next> {
         let head = match self.head(&req) {
             Ok(head) => head,
             Err(kind) => return self.reject(conn, None, kind).await,
         };
         let asked = match self.admit(&head) {
             Ok(()) => head.asked,
-            Err(kind) => Err(kind),
+            Err(kind) => Err(refusal(&head, kind)),
         };
         if asked.is_err() && head.expects_continue {
             return self
@@ -230,14 +245,15 @@
 
     fn head(&self, req: &Request) -> Result<Head, ErrorKind> {
         let now = self.clock.now();
-        let routes = self.routes();
+        let view = self.view.load();
         let header_is = |name: &str, value: &str| {
             req.header(name).is_some_and(|v| v.last().as_str().eq_ignore_ascii_case(value))
         };
         Ok(Head {
             id: request_id(req)?,
             body: body_kind(req, self.cfg.body_max_bytes)?,
-            asked: parse(req, &routes, now, self.cfg.max_depth),
+            asked: parse(req, |name| self.routes.find(name, &view, now), now, self.cfg.max_depth),
+            fresh: view.fresh,
             expects_continue: header_is("expect", "100-continue"),
             close: header_is("connection", "close"),
         })
@@ -250,7 +266,7 @@
         if depth == 0 && self.owner.is_draining() {
             return Err(ErrorKind::Draining);
         }
-        if !self.routes.load().is_fresh() {
+        if !head.fresh {
             return Err(ErrorKind::StaleIntent);
         }
         Ok(())
@@ -258,7 +274,7 @@
 
     /// Runs a request; drops it and returns `None` when the client goes.
     async fn run_until_gone(
-        &self,
+        self: &Arc<Self>,
         conn: &Conn,
         asked: &Asked,
         id: Uuid,
@@ -268,7 +284,11 @@
         self.budget().on_call();
         self.metrics.ingress_in_flight.inc();
         let work = self.run(asked, id, body);
-        let ended = match select(pin!(work), pin!(conn.closed())).await {
+        let gone = async {
+            self.timers.at(started + WATCH_AFTER).await;
+            conn.closed().await;
+        };
+        let ended = match select(pin!(work), pin!(gone)).await {
             Either::Left((answer, _)) => Some(answer),
             Either::Right(_) => None,
         };
@@ -279,18 +299,6 @@
         ended
     }
 
-    /// Returns the routes of the present view.
-    fn routes(&self) -> Arc<Routes> {
-        let view = self.view.load();
-        let routes = self.routes.load_full();
-        if routes.is_of(&view) {
-            return routes;
-        }
-        let routes = Arc::new(routes.rebuilt(view, &self.maker, self.clock.now()));
-        self.routes.store(routes.clone());
-        routes
-    }
-
     /// Answers a request whose end cannot be told, after which the connection is useless.
     async fn reject(&self, conn: &Conn, id: Option<Uuid>, kind: ErrorKind) -> io::Result<Next> {
         self.metrics.count_rejected(kind.outcome());
@@ -323,6 +331,19 @@
     }
 }
 
+/// Age of a request from which its client's connection is watched. Watching costs two system calls,
+/// and most requests are answered before their client can have lost interest.
+const WATCH_AFTER: Duration = Duration::from_millis(5);
+
+/// Returns what is said of a request that the node does not take. A request with a key may have
+/// run before, which only the key's keeper knows.
+fn refusal(head: &Head, kind: ErrorKind) -> ErrorKind {
+    match &head.asked {
+        Ok(asked) if asked.is_keyed() => ErrorKind::KeeperUnreachable,
+        _ => kind,
+    }
+}
+
 /// Longest time for which input is thrown away.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
