Connect membership, intent and the store to the node

Cause: the decision crate `fleet` had no sockets, so nodes could not run as separate processes. `oleandertiller node` now runs the whole node: gossip over UDP, pulls over the inner port, the store over HTTP, zone entry, watcher, initial services, operators' statements at `/ask`, counts at `/report`, the keeper service and the planned stop.

The request path reads until when the node may serve from an atomic beside the view and compares it with the clock, at the ingress, at the owner and again right before the hand-over, so that a pause is noticed by whichever task runs first. The intent is published before that time.

A planned stop is announced 0.5 s before the node refuses work. Refusing at once charged peers' retries to their budget, and some requests ended as `draining` in the test of a planned stop. The test's upstreams also no longer begin at a cold limit of 1, which the test is not about.

Tests of the binary use free ports, since the node now opens those of its settings. `Kernel`'s closers are `Sync`, so that a node can be closed in a task. The zone test asks in bursts after the return: without load an ingress keeps to owners whose load it knows.

Ruled out: a freshness flag in the view (it misses a pause before the first request) and rebuilding owners in a task of its own (it lags behind queries).

--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -5,7 +5,7 @@
 use std::{any::Any, fmt, future::Future, pin::Pin, sync::Arc};
 
 type Closing = Pin<Box<dyn Future<Output = ()> + Send>>;
-type Closer = Box<dyn FnOnce() -> Closing + Send>;
+type Closer = Box<dyn FnOnce() -> Closing + Send + Sync>;
 
 /// A service that can be closed by the kernel.
 pub trait Service: Send + Sync + 'static {
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod conn;
+pub mod control;
 pub mod ingress;
 pub mod inner;
 pub mod keeper;
@@ -9,6 +10,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod owner;
+pub mod store;
 pub mod timer;
 pub mod view;
 
@@ -63,6 +65,7 @@
     owner: Arc<Owner<C>>,
     ingress: Arc<Ingress<C>>,
     keys: Arc<Keys<C>>,
+    metrics: Metrics,
     streams: Box<dyn Fn() -> usize + Send + Sync>,
 }
 
@@ -227,7 +230,7 @@
         let inner = Arc::new(InnerServer::new(Arc::new(handler), cfg.body_max_bytes));
         let keeper =
             KeeperService::new(cfg.clone(), clock.clone(), view, client.clone(), keys.clone());
-        let mut app = operator::app(owner.clone(), metrics);
+        let mut app = operator::app(owner.clone(), metrics.clone());
         add_routes(&mut app);
 
         let mut kernel = Kernel::default();
@@ -248,7 +251,7 @@
         registered.map_err(|error: KernelError| io::Error::other(error))?;
         let (owner, ingress, inner, keys) = parts;
         let streams = Box::new(move || inner.streams());
-        Ok(Self { cfg, clock, kernel, owner, ingress, keys, streams })
+        Ok(Self { cfg, clock, kernel, owner, ingress, keys, metrics, streams })
     }
 
     /// Returns the settings, with the ports that the system chose.
@@ -266,6 +269,11 @@
         &self.owner
     }
 
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Returns the ledger of idempotency keys.
     pub fn keys(&self) -> &Arc<Keys<C>> {
         &self.keys
@@ -306,14 +314,19 @@
     /// The ports stay open until then: peers and clients are told `draining`, and the local
     /// upstream can still call other services for the requests that it has.
     pub async fn close(self) {
+        self.finish_work().await;
+        self.kernel.close().await;
+        task::sleep(GOODBYE).await;
+    }
+
+    /// Refuses new work and waits for the work in flight, at the latest for the drain time-out.
+    pub async fn finish_work(&self) {
         self.drain();
         let deadline = self.clock.now() + self.cfg.drain_timeout;
         while self.is_busy() && self.clock.now() < deadline {
             task::sleep(QUIET_POLL).await;
         }
         self.report_leftovers(deadline);
-        self.kernel.close().await;
-        task::sleep(GOODBYE).await;
     }
 
     fn is_busy(&self) -> bool {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -245,6 +245,8 @@
 
     fn head(&self, req: &Request) -> Result<Head, ErrorKind> {
         let now = self.clock.now();
+        // Asked before the view is loaded: once fresh again, the view holds the newer intent.
+        let fresh = self.view.is_fresh(now);
         let view = self.view.load();
         let header_is = |name: &str, value: &str| {
             req.header(name).is_some_and(|v| v.last().as_str().eq_ignore_ascii_case(value))
@@ -253,7 +255,7 @@
             id: request_id(req)?,
             body: body_kind(req, self.cfg.body_max_bytes)?,
             asked: parse(req, |name| self.routes.find(name, &view, now), now, self.cfg.max_depth),
-            fresh: view.fresh,
+            fresh,
             expects_continue: header_is("expect", "100-continue"),
             close: header_is("connection", "close"),
         })
@@ -266,10 +268,12 @@
         if depth == 0 && self.owner.is_draining() {
             return Err(ErrorKind::Draining);
         }
-        if !head.fresh {
-            return Err(ErrorKind::StaleIntent);
+        // The local upstream's calls belong to requests that were taken before; a depth without
+        // such a request is a client's own claim.
+        if head.fresh || depth > 0 && self.owner.is_busy() {
+            return Ok(());
         }
-        Ok(())
+        Err(ErrorKind::StaleIntent)
     }
 
     /// Runs a request; drops it and returns `None` when the client goes.
--- a/src/node/ingress/keyed.rs
+++ b/src/node/ingress/keyed.rs
@@ -111,7 +111,7 @@
         deadline: Instant,
         body: Bytes,
     ) -> Option<Answer> {
-        if !self.view.load().fresh {
+        if !self.view.is_fresh(self.clock.now()) {
             // A keeper that was paused may have been replaced.
             return None;
         }
--- a/src/node/keeper.rs
+++ b/src/node/keeper.rs
@@ -99,9 +99,8 @@
     pub async fn run(&self, commands: &impl Commands, stop: async_channel::Receiver<()>) {
         let mut round = Round { proofs: HashMap::new(), next_command: self.clock.now() };
         while !stop.is_closed() {
-            let view = self.view.load();
-            if view.fresh {
-                self.round(&view, &mut round, commands).await;
+            if self.view.is_fresh(self.clock.now()) {
+                self.round(&self.view.load(), &mut round, commands).await;
             }
             task::sleep(TICK).await;
         }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleandertiller_model::Outcome;
+use oleandertiller_model::{ErrorKind, Outcome};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -55,6 +55,68 @@
     pub probes: Counter,
     /// Bytes of probes and their answers.
     pub probe_bytes: Counter,
+    /// Metrics of the control services.
+    pub control: ControlMetrics,
+}
+
+/// Metrics of the control services.
+#[derive(Clone, Debug, Default)]
+pub struct ControlMetrics {
+    /// Gossip datagrams sent.
+    pub gossip_sent: Counter,
+    /// Bytes of gossip datagrams sent, without the headers of UDP and IP.
+    pub gossip_sent_bytes: Counter,
+    /// Gossip datagrams received.
+    pub gossip_received: Counter,
+    /// Bytes of gossip datagrams received, without the headers of UDP and IP.
+    pub gossip_received_bytes: Counter,
+    /// Pulls of intent and members made at peers.
+    pub pulls: Counter,
+    /// Bytes of answers to these pulls.
+    pub pull_bytes: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Calls to the store without a usable answer.
+    pub store_failures: Counter,
+    /// Revision of the intent in force.
+    pub intent_revision: Gauge,
+    /// Age of the newest confirmation by the store in milliseconds; -1 when there is none.
+    pub confirmation_age_ms: Gauge,
+    /// Members present, the node itself included.
+    pub members: Gauge,
+    /// 1 while the node is stale.
+    pub stale: Gauge,
+}
+
+impl ControlMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let counters = [
+            ("gossip_sent", "Gossip datagrams sent", &self.gossip_sent),
+            ("gossip_sent_bytes", "Bytes of gossip sent", &self.gossip_sent_bytes),
+            ("gossip_received", "Gossip datagrams received", &self.gossip_received),
+            ("gossip_received_bytes", "Bytes of gossip received", &self.gossip_received_bytes),
+            ("pulls", "Pulls of intent and members at peers", &self.pulls),
+            ("pull_bytes", "Bytes of answers to pulls", &self.pull_bytes),
+            ("store_calls", "Calls to the store", &self.store_calls),
+            ("store_failures", "Calls to the store without a usable answer", &self.store_failures),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        let gauges = [
+            ("intent_revision", "Revision of the intent in force", &self.intent_revision),
+            (
+                "confirmation_age_ms",
+                "Age of the newest confirmation by the store, -1 for none",
+                &self.confirmation_age_ms,
+            ),
+            ("members", "Members present", &self.members),
+            ("stale", "1 while the node takes no new work for want of news", &self.stale),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
 }
 
 impl Metrics {
@@ -72,6 +134,7 @@
             retries_refused: Counter::default(),
             probes: Counter::default(),
             probe_bytes: Counter::default(),
+            control: ControlMetrics::default(),
         };
         metrics.registry = Arc::new(metrics.registered());
         metrics
@@ -99,6 +162,7 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        self.control.register(&mut registry);
         registry
     }
 
@@ -116,6 +180,19 @@
         self.calls.get_or_create(&labels.ended(outcome)).inc();
     }
 
+    /// Returns how often calls of a kind ended in each way; ways that did not occur are left out.
+    pub fn counts(&self, service: &str, kind: &str) -> Vec<(Outcome, u64)> {
+        let labels = KindLabels { service: service.into(), kind: kind.into() };
+        let failures = ErrorKind::ALL.iter();
+        let failures = failures.flat_map(|k| [Outcome::NotRun(*k), Outcome::Unknown(*k)]);
+        let outcomes = std::iter::once(Outcome::Done).chain(failures);
+        let count = |outcome: Outcome| {
+            let count = self.calls.get(&labels.ended(outcome))?.get();
+            (count > 0).then_some((outcome, count))
+        };
+        outcomes.filter_map(count).collect()
+    }
+
     /// Writes all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -27,7 +27,12 @@
     pool::Pool,
     state::{Announcement, State, Waiting},
 };
-use crate::node::{config::NodeConfig, metrics::Metrics, timer::Timers, view::ViewCell};
+use crate::node::{
+    config::NodeConfig,
+    metrics::Metrics,
+    timer::Timers,
+    view::{View, ViewCell},
+};
 
 /// Keeper of the local upstream's limit, connections and life cycle.
 pub struct Owner<C> {
@@ -187,6 +192,8 @@
         body: &[u8],
     ) -> Result<Answer, Outcome> {
         let conn = self.connect(upstream, deadline).await.map_err(Outcome::NotRun)?;
+        // The process may have been paused, or the zone taken out, while the request waited.
+        self.check_intent().map_err(Outcome::NotRun)?;
         let remaining = deadline.saturating_duration_since(self.clock.now());
         if remaining.is_zero() {
             return Err(Outcome::NotRun(ErrorKind::DeadlineExceeded));
@@ -284,13 +291,7 @@
         if self.is_draining() {
             return Err(ErrorKind::Draining);
         }
-        let view = self.view.load();
-        if !view.fresh {
-            return Err(ErrorKind::StaleIntent);
-        }
-        if !view.intent.zone_in_service(&self.cfg.zone) {
-            return Err(ErrorKind::ZoneOut);
-        }
+        let view = self.check_intent()?;
         if call.depth > self.cfg.max_depth {
             return Err(ErrorKind::DepthExceeded);
         }
@@ -302,6 +303,16 @@
         Ok(kind.weight)
     }
 
+    /// Checks that the intent is current and has the zone in service; returns the view.
+    fn check_intent(&self) -> Result<Arc<View>, ErrorKind> {
+        // Asked before the view is loaded: once fresh again, the view holds the newer intent.
+        if !self.view.is_fresh(self.clock.now()) {
+            return Err(ErrorKind::StaleIntent);
+        }
+        let view = self.view.load();
+        if view.intent.zone_in_service(&self.cfg.zone) { Ok(view) } else { Err(ErrorKind::ZoneOut) }
+    }
+
     /// Refuses new work from now on.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/tests/cli/commands.rs
+++ b/tests/cli/commands.rs
@@ -155,6 +155,22 @@
     assert!(json["missing"][&closed].is_string(), "{json}");
 }
 
+/// Puts a free port in the place of each port of the example, so that tests can run side by side.
+fn with_free_ports(settings: &str) -> String {
+    const LOOPBACK: &str = "127.0.0.1:";
+    let mut parts = settings.split(LOOPBACK);
+    let mut text = parts.next().unwrap().to_owned();
+    // All are held until the last is known, so that none is given twice.
+    let mut held = Vec::new();
+    for part in parts {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let rest = part.trim_start_matches(|c: char| c.is_ascii_digit());
+        text.push_str(&format!("{}{rest}", listener.local_addr().unwrap()));
+        held.push(listener);
+    }
+    text
+}
+
 /// A node that is running; ended when dropped.
 struct Node {
     child: Child,
@@ -164,7 +180,7 @@
 impl Node {
     fn start(dir: &Path, settings: &str) -> Self {
         let file = dir.join("node.ini");
-        fs::write(&file, settings).unwrap();
+        fs::write(&file, with_free_ports(settings)).unwrap();
         let mut child = binary()
             .args(["node", "--settings", file.to_str().unwrap()])
             .stderr(Stdio::piped())
--- /dev/null
+++ b/tests/testsuite/control.rs
@@ -0,0 +1,25 @@
+//! Nodes as processes: membership, intent and planned stops.
+
+mod stops;
+mod zones;
+
+use async_std::task;
+
+use crate::processes::{Fleet, Plan};
+
+/// Guards against parts that work alone but do not find each other: zone entries, gossip across
+/// zones, the initial intent, announcements and the inner port.
+#[test]
+fn a_request_is_served_through_two_nodes() {
+    task::block_on(async {
+        let plans = [
+            Plan::new("kettle-1", "khan-uul", "kettle"),
+            Plan::new("recipe-1", "bayangol", "recipe"),
+        ];
+        let fleet = Fleet::start(&plans).await;
+        let [kettle, recipe] = &fleet.nodes[..] else { panic!() };
+        let reply = recipe.get("/kettle/temper").await;
+        assert_eq!((reply.status(), reply.header("x-outcome")), (200, Some("done")));
+        assert_eq!(kettle.record().await.run, 1);
+    });
+}
--- /dev/null
+++ b/tests/testsuite/control/zones.rs
@@ -0,0 +1,147 @@
+//! Zones that are taken out of service and brought back.
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use oleandertiller_standin::http::Client;
+
+use crate::processes::{Fleet, NodeProcess, Plan, STEP, call, wait_until};
+
+/// Time after which a zone that was taken out gets no new work.
+const ZONE_OUT_TARGET: Duration = Duration::from_secs(3);
+
+/// Time in which an accepted configuration is in force on every reachable node.
+const IN_FORCE_TARGET: Duration = Duration::from_secs(5);
+
+/// Time over which a returning zone ramps up, as the settings have it by default.
+const ZONE_RAMP: Duration = Duration::from_secs(10);
+
+fn plans() -> [Plan; 3] {
+    [
+        Plan::new("a-1", "zone-a", "kettle"),
+        Plan::new("b-1", "zone-b", "kettle"),
+        Plan::new("b-2", "zone-b", "kettle"),
+    ]
+}
+
+async fn runs(nodes: &[NodeProcess]) -> u64 {
+    let mut runs = 0;
+    for node in nodes {
+        runs += node.record().await.run;
+    }
+    runs
+}
+
+/// Sends `count` requests to every node and expects each to be done.
+async fn all_done(nodes: &[NodeProcess], count: usize) {
+    for node in nodes {
+        for _ in 0..count {
+            let reply = node.get("/kettle/temper").await;
+            let outcome = (reply.status(), reply.header("x-outcome"));
+            assert_eq!(
+                outcome,
+                (200, Some("done")),
+                "{:?}\n{}",
+                reply.header("x-reason"),
+                node.log()
+            );
+        }
+    }
+}
+
+/// Sends requests to every node at the same time.
+async fn burst(nodes: &[NodeProcess]) {
+    let clients = nodes.iter().flat_map(|node| [node.client; 8]);
+    let requests = clients.map(|client| {
+        task::spawn(async move {
+            let headers = [("x-deadline-ms", "1000")];
+            call(client, "GET", "/kettle/temper", &headers, "").await
+        })
+    });
+    for request in requests.collect::<Vec<_>>() {
+        request.await;
+    }
+}
+
+/// Guards against a zone that keeps getting work from any ingress after it was taken out, and one
+/// that does not come back.
+#[test]
+fn a_zone_leaves_and_returns() {
+    task::block_on(async {
+        let fleet = Fleet::start(&plans()).await;
+        all_done(&fleet.nodes, 20).await;
+        assert!(runs(&fleet.nodes[1..]).await > 0);
+        fleet.nodes[0].command("zone zone-b out").await;
+        task::sleep(ZONE_OUT_TARGET).await;
+        let before = runs(&fleet.nodes[1..]).await;
+        all_done(&fleet.nodes, 30).await;
+        assert_eq!(runs(&fleet.nodes[1..]).await, before);
+        fleet.nodes[1].command("zone zone-b in").await;
+        let returned = || async {
+            // Without load an ingress stays with owners whose load it knows.
+            burst(&fleet.nodes).await;
+            runs(&fleet.nodes[1..]).await > before
+        };
+        let within = IN_FORCE_TARGET + ZONE_RAMP / 2;
+        wait_until(within, "zone-b gets work again", returned, &fleet.nodes[0]).await;
+    });
+}
+
+/// Guards against nodes that learn of a command from the store only.
+#[test]
+fn a_zone_leaves_with_the_store_down_after_acceptance() {
+    task::block_on(async {
+        let fleet = Fleet::start(&plans()).await;
+        fleet.nodes[0].command("zone zone-b out").await;
+        fleet.store.set_faults(r#"{"down":true}"#).await;
+        task::sleep(ZONE_OUT_TARGET).await;
+        let before = runs(&fleet.nodes[1..]).await;
+        all_done(&fleet.nodes, 30).await;
+        assert_eq!(runs(&fleet.nodes[1..]).await, before);
+        let (status, answer) = fleet.nodes[0].ask("zone zone-b in").await;
+        assert_eq!((status, &answer["result"]), (503, &"not-accepted".into()), "{answer}");
+    });
+}
+
+/// Guards against work on an old intent right after a pause: requests that arrived during the
+/// pause are the first thing that the process sees when it resumes.
+#[test]
+fn a_paused_node_runs_nothing_in_a_zone_that_left_meanwhile() {
+    task::block_on(async {
+        let fleet = Fleet::start(&plans()).await;
+        let [a, b, _] = &fleet.nodes[..] else { panic!() };
+        let mut clients = Vec::new();
+        for _ in 0..8 {
+            clients.push(Client::connect(b.client).await.unwrap());
+        }
+        b.process.signal("STOP");
+        a.command("zone zone-b out").await;
+        fleet.store.set_faults(r#"{"down":true}"#).await;
+        let before = b.record().await.run;
+        let waiting = clients.into_iter().map(|mut client| {
+            task::spawn(async move {
+                let path = "/kettle/temper";
+                let headers = [("x-deadline-ms", "20000")];
+                let reply = client.call("GET", path, &headers, &[]).await.unwrap();
+                (reply.status(), reply.header("x-reason").map(str::to_owned))
+            })
+        });
+        let waiting: Vec<_> = waiting.collect();
+        task::sleep(ZONE_OUT_TARGET).await;
+        b.process.signal("CONT");
+        for answer in waiting {
+            let (status, reason) = answer.await;
+            let refused = status == 503 && reason.as_deref() == Some("stale-intent");
+            assert!(refused || status == 200, "{status} {reason:?}\n{}", b.log());
+        }
+        let resumed = Instant::now();
+        while resumed.elapsed() < IN_FORCE_TARGET {
+            let reply = b.get("/kettle/temper").await;
+            assert!(matches!(reply.status(), 200 | 503), "{}", reply.status());
+            assert_eq!(b.record().await.run, before, "{}", b.log());
+        }
+        let serves = || async { b.get("/kettle/temper").await.status() == 200 };
+        wait_until(STEP, "the resumed node serves through others", serves, b).await;
+        assert_eq!(b.record().await.run, before);
+    });
+}
--- a/tests/testsuite/dataplane/flow.rs
+++ b/tests/testsuite/dataplane/flow.rs
@@ -240,7 +240,7 @@
         assert_eq!(client.get("/kettle/temper").await.header("x-reason"), "zone-out");
         ingress.view.update(zone_out);
         assert_eq!(client.get("/kettle/temper").await.header("x-reason"), "no-upstream");
-        ingress.view.update(|view| view.fresh = false);
+        ingress.view.set_serve_until(None);
         assert_eq!(client.get("/kettle/temper").await.header("x-reason"), "stale-intent");
         assert_eq!(owner.upstream.record.runs(), 0);
     });
--- a/tests/testsuite/keyed.rs
+++ b/tests/testsuite/keyed.rs
@@ -88,8 +88,8 @@
             view.update(|view| {
                 view.intent = intent.clone();
                 view.owners = [(ServiceName::from("kettle"), infos.clone().into())].into();
-                view.fresh = true;
             });
+            view.serve_always();
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,6 @@
 //! Integration tests with real processes.
 
+mod control;
 mod dataplane;
 mod keyed;
+mod processes;
