--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -5,6 +5,7 @@
 //! spread as rumours on all datagrams; anti-entropy makes up for rumours that were missed.
 
 mod merge;
+mod outage;
 mod probe;
 pub mod rumours;
 mod sync;
@@ -61,7 +62,7 @@
 /// A longer gap between ticks means that the process was paused.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// A node that got no answer for this long suspects nobody, since the fault is probably its own.
+/// A node that heard no member for this long suspects nobody, since the fault is probably its own.
 const OWN_FAULT_AFTER: Duration = Duration::from_secs(3);
 
 /// Members from which on the rule above holds; in smaller fleets all others may well be gone.
@@ -140,7 +141,9 @@
     plan: Option<PullPlan>,
     pulled_at: Option<Instant>,
     last_tick: Instant,
-    last_ack: Instant,
+    last_heard: Instant,
+    /// Results of the latest pings of the round, newest in the lowest bit; 1 is silence.
+    silences: u8,
     next_probe: Instant,
     next_sync: Instant,
     next_departed: Instant,
@@ -175,7 +178,8 @@
             plan: None,
             pulled_at: None,
             last_tick: now,
-            last_ack: now,
+            last_heard: now,
+            silences: 0,
             next_probe: now + offset,
             next_sync: now + sync::INTERVAL.mul_f64(rng.random::<f64>()),
             next_departed: now + probe::DEPARTED_INTERVAL,
@@ -270,6 +274,11 @@
         self.push(LEAVE_FANOUT);
     }
 
+    /// Drops all rumours under way, for measurements that begin in the steady state.
+    pub fn drop_rumours(&mut self) {
+        self.rumours = Rumours::default();
+    }
+
     /// Sends a datagram with rumours to `count` random members at once.
     pub fn push(&mut self, count: usize) {
         for slot in self.random_members(count, self.local) {
