Do not join the keeper set again during a planned stop

Cause: after its leave was finished, the keeper's loop found the node outside the set and added it again; its process then ended and was declared lost, so that its keys were in doubt. Seen by reading; the test of the planned stop now waits for several rounds of the loop. Conclusion: a leaving keeper does not join.

--- a/src/node/keeper.rs
+++ b/src/node/keeper.rs
@@ -6,7 +6,10 @@
     future::Future,
     io::ErrorKind as IoErrorKind,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -67,6 +70,8 @@
     view: ViewCell,
     client: Arc<InnerClient<C>>,
     keys: Arc<Keys<C>>,
+    /// Set by a planned stop, after which the node must not join again.
+    leaving: AtomicBool,
 }
 
 /// State of the service's loop between two ticks.
@@ -88,7 +93,7 @@
         client: Arc<InnerClient<C>>,
         keys: Arc<Keys<C>>,
     ) -> Self {
-        Self { cfg, clock, view, client, keys }
+        Self { cfg, clock, view, client, keys, leaving: AtomicBool::new(false) }
     }
 
     fn me(&self) -> Keeper {
@@ -130,7 +135,10 @@
         let own = view.owners.get(&self.cfg.service);
         let own = own.and_then(|owners| owners.iter().find(|o| o.node == self.cfg.name));
         let has_upstream = own.is_some_and(|own| own.lifecycle != Lifecycle::Absent);
-        if !has_upstream || !view.intent.services.contains_key(&self.cfg.service) {
+        if self.leaving.load(Ordering::Relaxed)
+            || !has_upstream
+            || !view.intent.services.contains_key(&self.cfg.service)
+        {
             return;
         }
         if self.may_command(round) {
@@ -223,6 +231,7 @@
     ///
     /// Work goes on meanwhile: repeats of handed over keys are answered by their new keepers.
     pub async fn leave(&self, commands: &impl Commands) {
+        self.leaving.store(true, Ordering::Relaxed);
         let deadline = self.clock.now() + LEAVE_TIMEOUT;
         let set = self.apply(&self.view.load());
         let me = self.me();
--- a/tests/testsuite/keyed.rs
+++ b/tests/testsuite/keyed.rs
@@ -180,6 +180,8 @@
         }
         let leaving = fleet.nodes.remove(2);
         leaving.keeper.leave(&fleet.shared).await;
+        // Several rounds of its loop, in which it must not join again.
+        task::sleep(Duration::from_millis(1_800)).await;
         leaving.stop.close();
         leaving.task.await;
         let runs_there = leaving.member.upstream.record.runs();
