Add seeded rollout scenarios

Cause: the decisions need evidence beyond single cases. Ruled out: counting slow answers of cold servers as shown badness; a good version gives them too. Conclusion: the bounds are invariant 4's (5% before proof, 5 s after badness shows).

--- /dev/null
+++ b/crates/rollout/tests/rollout/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the rollout decisions.
+
+mod scenarios;
+mod world;
--- /dev/null
+++ b/crates/rollout/tests/rollout/scenarios.rs
@@ -0,0 +1,238 @@
+//! Seeded scenarios of whole rollouts, with bounds that follow from the invariants.
+
+use std::{
+    fmt::Write as _,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use oleandertiller_model::intent::RolloutPhase;
+
+use crate::world::{
+    self, Outcome,
+    fault::{Fault, Operators, Scenario, Trouble},
+};
+
+/// Seconds in which traffic must leave a version that was shown to be bad, by invariant 4.
+const EXPOSED_MAX: f64 = 5.0;
+
+const WORKERS: usize = 4;
+
+type Results = Vec<(Scenario, Outcome)>;
+
+fn run_all(scenarios: Vec<Scenario>) -> Results {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(scenario) = scenarios.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let outcome = world::run(*scenario);
+            results.lock().unwrap().push((*scenario, outcome));
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(work);
+        }
+    });
+    let mut results = results.into_inner().unwrap();
+    results.sort_by_key(|(scenario, _)| scenario.seed);
+    results
+}
+
+fn count(results: &Results, holds: impl Fn(&Outcome) -> bool) -> usize {
+    results.iter().filter(|(_, outcome)| holds(outcome)).count()
+}
+
+fn rolled_back(outcome: &Outcome) -> bool {
+    outcome.phase == Some(RolloutPhase::TakenBack)
+}
+
+fn completed(outcome: &Outcome) -> bool {
+    outcome.phase == Some(RolloutPhase::Completed)
+}
+
+fn print(name: &str, results: &Results) {
+    let sum = |field: fn(&Outcome) -> u64| results.iter().map(|(_, o)| field(o)).sum::<u64>();
+    let percent = |part: u64, of: u64| 100.0 * part as f64 / of.max(1) as f64;
+    let requests = sum(|o| o.requests);
+    let exposed = results.iter().map(|(_, o)| o.exposed()).fold(0.0, f64::max);
+    let max_share = results.iter().map(|(_, o)| o.max_share).max().unwrap_or(0);
+    let unproved = percent(sum(|o| o.unproved.1), sum(|o| o.unproved.0));
+    let mut line = format!("{name:<28} n {:>3}", results.len());
+    write!(line, " | rolled back {:>3}", count(results, rolled_back)).unwrap();
+    write!(line, " | completed {:>3}", count(results, completed)).unwrap();
+    write!(line, " | to new {:>6.2}%", percent(sum(|o| o.new), requests)).unwrap();
+    write!(line, " | met fault {:>6.3}%", percent(sum(|o| o.met), requests)).unwrap();
+    write!(line, " | unproved {unproved:>5.2}%").unwrap();
+    write!(line, " | max share {:>5.1}%", f64::from(max_share) / 1e4).unwrap();
+    write!(line, " | exposed {exposed:>5.2} s").unwrap();
+    println!("{line}");
+}
+
+/// Checks what holds in every scenario.
+fn check_invariants(results: &Results) {
+    for (scenario, outcome) in results {
+        assert!(outcome.violations.is_empty(), "{scenario:?}: {:?}", outcome.violations);
+        let (all, new) = outcome.unproved;
+        let expected = all as f64 * 0.05;
+        let bound = expected + 5.0 * expected.sqrt();
+        assert!(new as f64 <= bound, "{scenario:?}: {new} of {all} before proof");
+        let ended = outcome.phase.is_some();
+        assert!(ended, "{scenario:?}: no end");
+        assert!(!outcome.reason.is_empty(), "{scenario:?}: no reason");
+    }
+}
+
+fn family(name: &str, scenarios: impl Iterator<Item = Scenario>) -> Results {
+    let results = run_all(scenarios.collect());
+    print(name, &results);
+    check_invariants(&results);
+    if let Some((_, outcome)) = results.first() {
+        println!("    {:.0} s: {}", outcome.ended, outcome.reason);
+    }
+    results
+}
+
+fn assert_rolled_back(results: &Results) {
+    for (scenario, outcome) in results {
+        assert!(rolled_back(outcome), "{scenario:?}: {}", outcome.reason);
+        let exposed = outcome.exposed();
+        assert!(exposed <= EXPOSED_MAX, "{scenario:?}: {exposed:.2} s, {}", outcome.reason);
+    }
+}
+
+fn assert_completed(results: &Results) {
+    for (scenario, outcome) in results {
+        assert!(completed(outcome), "{scenario:?}: {} s, {}", outcome.ended, outcome.reason);
+    }
+}
+
+fn parts(seed: u64) -> f64 {
+    0.3 + 0.7 * (seed % 24) as f64 / 23.0
+}
+
+/// Guards against a rollout that takes a good version back or misses its time without a cause.
+#[test]
+fn good_versions_complete_in_time() {
+    let results = family("good", (0..24).map(|seed| Scenario::new(seed, Fault::None)));
+    assert_completed(&results);
+}
+
+/// Guards against a slow server of a good version condemning the version.
+#[test]
+fn a_noisy_neighbour_does_not_condemn_a_good_version() {
+    let scenario = |seed: u64| Scenario {
+        noisy: Some(3.0 + (seed % 6) as f64),
+        ..Scenario::new(seed, Fault::None)
+    };
+    let results = family("good, noisy neighbour", (100..124).map(scenario));
+    assert_completed(&results);
+}
+
+/// Guards against a version that fails from its first request and gets more than 5% of traffic.
+#[test]
+fn versions_bad_at_once_stay_below_five_percent() {
+    let fault = |seed| Fault::Fails { part: parts(seed), from: 0.0 };
+    let results = family("bad at once", (200..224).map(|seed| Scenario::new(seed, fault(seed))));
+    assert_rolled_back(&results);
+    for (scenario, outcome) in &results {
+        assert!(outcome.max_share <= 50_000, "{scenario:?}: {}", outcome.max_share);
+    }
+}
+
+/// Guards against evidence from good minutes delaying the verdict on a later regression.
+#[test]
+fn versions_bad_after_minutes_are_taken_back() {
+    let from = |seed: u64| 30.0 + 5.0 * (seed % 24) as f64;
+    let fault = |seed| Fault::Fails { part: parts(seed * 7), from: from(seed) };
+    let results = family("bad later", (300..324).map(|seed| Scenario::new(seed, fault(seed))));
+    assert_rolled_back(&results);
+}
+
+/// Guards against a regression that no small share can show.
+#[test]
+fn versions_bad_under_load_are_taken_back() {
+    let fault = |seed| Fault::FailsUnderLoad { part: parts(seed) };
+    let results = family("bad under load", (400..424).map(|seed| Scenario::new(seed, fault(seed))));
+    assert_rolled_back(&results);
+}
+
+/// Guards against judging by failures only.
+#[test]
+fn slow_versions_are_taken_back() {
+    let fault = |seed: u64| Fault::Slow { factor: 2.0 + (seed % 24) as f64 / 4.0 };
+    let results = family("slow", (500..524).map(|seed| Scenario::new(seed, fault(seed))));
+    assert_rolled_back(&results);
+}
+
+/// Guards against a regression of a rare kind that vanishes in the sum over kinds.
+#[test]
+fn versions_bad_on_one_kind_are_taken_back() {
+    let fault = |seed: u64| Fault::FailsOnKind { part: parts(seed), kind: (seed % 3) as u8 };
+    let results =
+        family("bad on one kind", (600..624).map(|seed| Scenario::new(seed, fault(seed))));
+    assert_rolled_back(&results);
+}
+
+/// Guards against moving traffic to servers that cannot carry it.
+#[test]
+fn too_few_new_servers_end_in_a_rollback_that_says_so() {
+    let scenario = |seed: u64| Scenario {
+        new_servers: 2,
+        new_slots: 3 + (seed % 2) as usize,
+        ..Scenario::new(seed, Fault::None)
+    };
+    let results = family("too few new servers", (700..716).map(scenario));
+    for (scenario, outcome) in &results {
+        assert!(rolled_back(outcome), "{scenario:?}");
+        assert!(outcome.reason.contains("could bear"), "{scenario:?}: {}", outcome.reason);
+        assert!(outcome.max_share < 1_000_000, "{scenario:?}");
+    }
+}
+
+fn troubled(seed: u64, trouble: Trouble, fault: Fault) -> Scenario {
+    let step = (seed % 8) as usize;
+    Scenario { trouble: Some((trouble, step)), deadline: 480.0, ..Scenario::new(seed, fault) }
+}
+
+const TROUBLES: [Trouble; 4] =
+    [Trouble::Killed, Trouble::Paused, Trouble::CutOff, Trouble::StoreDown];
+
+/// Guards against a rollout that stops, jumps or goes wrong when its controller or store is lost.
+#[test]
+fn good_versions_complete_despite_a_lost_controller_or_store() {
+    let scenario = |seed: u64| troubled(seed, TROUBLES[(seed / 8 % 4) as usize], Fault::None);
+    let results = family("good, control troubled", (800..832).map(scenario));
+    assert_completed(&results);
+}
+
+/// Guards against a bad version that stays in force when its controller or store is lost.
+#[test]
+fn bad_versions_are_taken_back_despite_a_lost_controller_or_store() {
+    let fault = Fault::Fails { part: 0.6, from: 100.0 };
+    let scenario = |seed: u64| troubled(seed, TROUBLES[(seed / 8 % 4) as usize], fault);
+    let results = family("bad, control troubled", (832..864).map(scenario));
+    for (scenario, outcome) in &results {
+        assert!(rolled_back(outcome), "{scenario:?}: {}", outcome.reason);
+    }
+}
+
+/// Guards against a command that is ignored, and against two rollouts at the same time.
+#[test]
+fn operators_cancel_and_race() {
+    let scenario = |seed: u64| {
+        let at = 5.0 + 10.0 * (seed % 16) as f64;
+        let operators = match seed % 3 {
+            0 => Operators::Cancel { at },
+            other => Operators::Race { at, cancel_first: other == 1 },
+        };
+        Scenario { operators, ..Scenario::new(seed, Fault::None) }
+    };
+    let results = family("good, operators", (900..916).map(scenario));
+    for (scenario, outcome) in &results {
+        let replaced = matches!(scenario.operators, Operators::Race { cancel_first: true, .. });
+        assert_eq!(completed(outcome), replaced, "{scenario:?}: {}", outcome.reason);
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/rollout/world.rs
@@ -0,0 +1,375 @@
+//! A discrete-event bench of the rollout decisions: servers of two versions, ingress nodes, nodes
+//! that can control the rollout, and a store.
+
+pub mod control;
+pub mod fault;
+pub mod ingress;
+pub mod servers;
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::{
+    Action, ServiceName,
+    intent::{Rollout, RolloutPhase},
+};
+use oleandertiller_rollout::{
+    Arm, Attempt, Availability, Choice, Facts, UNPROVED_MAX_PPM, Verdict, split,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand_distr::{Distribution, Exp};
+
+use control::{Node, Store, ladder, start, wall};
+use fault::{Operators, Scenario, Trouble};
+use ingress::Ingress;
+use servers::{KINDS, Server, choose};
+
+const REQUESTS_PER_SECOND: f64 = 300.0;
+const STEP: f64 = 0.25;
+const TROUBLE_SECONDS: f64 = 20.0;
+/// A version counts as shown to be bad when this many of the latest requests of a kind met its
+/// fault. Slow answers of cold servers do not count, as a good version gives them too.
+const SHOWN_AFTER: usize = 30;
+/// Latest requests of a kind to the new version that are looked at for this.
+const SHOWN_OF: usize = 300;
+/// Seconds that a scenario goes on after the rollout's end.
+const AFTER_END: f64 = 20.0;
+
+/// What a scenario showed.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub phase: Option<RolloutPhase>,
+    pub reason: String,
+    pub ended: f64,
+    pub requests: u64,
+    /// Requests that the new version received.
+    pub new: u64,
+    /// Requests that met the fault.
+    pub met: u64,
+    /// Requests and those to the new version while ingress nodes held a share of at most 5%.
+    pub unproved: (u64, u64),
+    /// When the badness was shown, and the last request to the new version after that.
+    pub shown: Option<f64>,
+    pub last_new: f64,
+    pub refused: u64,
+    pub max_share: u32,
+    pub vetoes: usize,
+    pub report_bytes: usize,
+    pub violations: Vec<String>,
+}
+
+impl Outcome {
+    /// Returns for how long new requests went on after the badness was shown.
+    pub fn exposed(&self) -> f64 {
+        self.shown.map_or(0.0, |shown| (self.last_new - shown).max(0.0))
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Completion {
+    at_us: u64,
+    server: usize,
+    ingress: usize,
+    kind: u8,
+    attempt: u8,
+    latency_us: u64,
+}
+
+impl Completion {
+    fn attempt(&self) -> Attempt {
+        match self.attempt {
+            0 => Attempt::Failed,
+            1 => Attempt::DoneCold,
+            _ => Attempt::Done(Duration::from_micros(self.latency_us)),
+        }
+    }
+}
+
+struct World {
+    scenario: Scenario,
+    rng: StdRng,
+    origin: Instant,
+    store: Store,
+    store_up: Option<f64>,
+    nodes: Vec<Node>,
+    ingresses: Vec<Ingress>,
+    servers: Vec<Server>,
+    running: BinaryHeap<Reverse<Completion>>,
+    facts: Facts,
+    last: Rollout,
+    troubled: bool,
+    operated: bool,
+    latest: [VecDeque<bool>; KINDS.len()],
+    outcome: Outcome,
+}
+
+/// Runs a scenario.
+pub fn run(scenario: Scenario) -> Outcome {
+    let mut world = World::new(scenario);
+    let gap = Exp::new(REQUESTS_PER_SECOND).unwrap();
+    let (mut arrival, mut step, mut steps) = (0.0f64, 0.0f64, 0u64);
+    let end = scenario.deadline + 60.0;
+    loop {
+        let completion = world.running.peek().map_or(f64::MAX, |next| next.0.at_us as f64 / 1e6);
+        let at = arrival.min(step).min(completion);
+        let after = world.outcome.phase.is_some() && at > world.outcome.ended + AFTER_END;
+        if at > end || after {
+            return world.outcome;
+        }
+        if at == completion {
+            world.complete();
+        } else if at == step {
+            world.control(at, steps % 4 == 3);
+            (step, steps) = (step + STEP, steps + 1);
+        } else {
+            world.arrive(at);
+            arrival += gap.sample(&mut world.rng);
+        }
+    }
+}
+
+impl World {
+    fn new(scenario: Scenario) -> Self {
+        let mut rng = StdRng::seed_from_u64(scenario.seed);
+        let origin = Instant::now();
+        let store = Store::new(scenario.deadline);
+        let last = store.rollout().clone();
+        let old = (0..4).map(Server::old);
+        let new = (0..scenario.new_servers).map(|index| Server::new(index, &scenario));
+        Self {
+            origin,
+            store_up: None,
+            nodes: (0..3).map(|index| Node::new(index, origin)).collect(),
+            ingresses: (0..3).map(|index| Ingress::new(index, &last, &mut rng)).collect(),
+            servers: old.chain(new).collect(),
+            running: BinaryHeap::new(),
+            facts: Facts::default(),
+            troubled: false,
+            operated: false,
+            latest: Default::default(),
+            outcome: Outcome::default(),
+            scenario,
+            rng,
+            store,
+            last,
+        }
+    }
+
+    fn now(&self, at: f64) -> Instant {
+        self.origin + Duration::from_secs_f64(at)
+    }
+
+    fn arrive(&mut self, at: f64) {
+        let ingress = self.rng.random_range(0..self.ingresses.len());
+        let kind = self.draw_kind();
+        let room = |arm| self.servers.iter().any(|server| server.arm == arm && server.has_room());
+        let availability = Availability { old: room(Arm::Old), new: room(Arm::New) };
+        let node = &self.ingresses[ingress];
+        let choice = node.pick(availability, &mut self.rng);
+        let share = split::share_ppm(&node.rollout, node.veto.is_in_force());
+        self.outcome.requests += 1;
+        let arm = match choice {
+            Choice::Old => Arm::Old,
+            Choice::New => Arm::New,
+            Choice::Neither => {
+                self.outcome.refused += 1;
+                return;
+            }
+        };
+        if node.rollout.share_ppm <= UNPROVED_MAX_PPM {
+            self.outcome.unproved.0 += 1;
+            self.outcome.unproved.1 += u64::from(arm == Arm::New);
+        }
+        if arm == Arm::New && share == 0 {
+            self.outcome.violations.push(format!("new version picked at share 0, {at:.2} s"));
+        }
+        let server = choose(&self.servers, arm, &mut self.rng).expect("a server has room");
+        self.send(at, ingress, server, kind);
+    }
+
+    fn send(&mut self, at: f64, ingress: usize, server: usize, kind: u8) {
+        let fault = self.scenario.fault;
+        let started = self.servers[server].start(kind, fault, at, &mut self.rng);
+        if self.servers[server].arm == Arm::New {
+            self.outcome.new += 1;
+            self.outcome.last_new = at;
+        }
+        self.outcome.met += u64::from(started.met);
+        if self.servers[server].arm == Arm::New {
+            let shows = started.met && started.attempt != Attempt::DoneCold;
+            self.look(kind, shows, at + started.seconds);
+        }
+        let attempt = match started.attempt {
+            Attempt::Failed => 0,
+            Attempt::DoneCold => 1,
+            Attempt::Done(_) => 2,
+        };
+        let at_us = ((at + started.seconds) * 1e6) as u64;
+        let latency_us = (started.seconds * 1e6) as u64;
+        let completion = Completion { at_us, server, ingress, kind, attempt, latency_us };
+        self.running.push(Reverse(completion));
+    }
+
+    fn look(&mut self, kind: u8, shows: bool, end: f64) {
+        let latest = &mut self.latest[usize::from(kind)];
+        latest.push_back(shows);
+        if latest.len() > SHOWN_OF {
+            latest.pop_front();
+        }
+        let met = latest.iter().filter(|shows| **shows).count();
+        if met >= SHOWN_AFTER && self.outcome.shown.is_none() {
+            self.outcome.shown = Some(end);
+        }
+    }
+
+    fn complete(&mut self) {
+        let Some(Reverse(done)) = self.running.pop() else { return };
+        let attempt = done.attempt();
+        let server = &mut self.servers[done.server];
+        server.finish(attempt);
+        let new_servers = self.scenario.new_servers;
+        let ingress = &mut self.ingresses[done.ingress];
+        ingress.observe(server.id, server.arm, done.kind, attempt, new_servers);
+    }
+
+    fn draw_kind(&mut self) -> u8 {
+        let mut draw: f64 = self.rng.random();
+        for (index, (_, weight, _)) in KINDS.iter().enumerate() {
+            draw -= weight;
+            if draw <= 0.0 {
+                return index as u8;
+            }
+        }
+        0
+    }
+
+    fn control(&mut self, at: f64, reports: bool) {
+        let now = self.now(at);
+        self.measure();
+        self.begin_trouble(at);
+        self.operate(at);
+        for ingress in &mut self.ingresses {
+            ingress.learn(at);
+        }
+        if reports {
+            self.report(now);
+        }
+        for index in 0..self.nodes.len() {
+            self.nodes[index].step(&mut self.store, self.facts, now, at);
+            self.check(at, Some(index));
+        }
+        self.heartbeat(now);
+    }
+
+    fn measure(&mut self) {
+        let new = self.servers.iter().filter(|server| server.arm == Arm::New);
+        self.facts.new_limit = new.map(|server| server.limit as f64).sum();
+        let in_flight: usize = self.servers.iter().map(|server| server.in_flight).sum();
+        self.facts.in_flight += 0.05 * (in_flight as f64 - self.facts.in_flight);
+    }
+
+    fn begin_trouble(&mut self, at: f64) {
+        if self.store_up.is_some_and(|end| at >= end) {
+            self.store.down = false;
+        }
+        let Some((trouble, step)) = self.scenario.trouble else { return };
+        if self.troubled || ladder(&self.last) < step || self.last.controller.is_none() {
+            return;
+        }
+        self.troubled = true;
+        let end = at + TROUBLE_SECONDS;
+        if trouble == Trouble::StoreDown {
+            self.store.down = true;
+            self.store_up = Some(end);
+            return;
+        }
+        let now = self.now(at);
+        let named = self.nodes.iter_mut().find(|node| node.is_named(&self.last));
+        named.expect("a node controls").afflict(trouble, end, self.facts, now, at);
+    }
+
+    fn operate(&mut self, at: f64) {
+        if self.operated {
+            return;
+        }
+        let cancel = || Action::CancelRollout { service: ServiceName::new("kettle") };
+        match self.scenario.operators {
+            Operators::Cancel { at: due } if at >= due => {
+                self.operated = true;
+                self.store.write(cancel(), at);
+            }
+            Operators::Race { at: due, cancel_first } if at >= due => {
+                self.operated = true;
+                let open = !self.store.rollout().phase.is_final();
+                if cancel_first {
+                    self.store.write(cancel(), at);
+                }
+                let started = self.store.write(start("v3", self.scenario.deadline), at);
+                if open && started != cancel_first {
+                    self.outcome.violations.push("a second rollout beside an open one".into());
+                }
+                if !cancel_first {
+                    self.store.write(cancel(), at);
+                }
+            }
+            _ => return,
+        }
+        self.check(at, None);
+    }
+
+    fn report(&mut self, now: Instant) {
+        for ingress in &mut self.ingresses {
+            let report = ingress.report();
+            let bytes = oleandertiller_model::codec::encode(&report).len();
+            self.outcome.report_bytes = self.outcome.report_bytes.max(bytes);
+            for node in &mut self.nodes {
+                node.report(&report, now);
+            }
+        }
+        self.outcome.vetoes =
+            self.ingresses.iter().filter(|ingress| ingress.veto.is_in_force()).count();
+    }
+
+    fn heartbeat(&mut self, now: Instant) {
+        let leads = |node: &Node| node.controller.leads(now).filter(|_| node.is_reachable());
+        let fences: Vec<_> = self.nodes.iter().filter_map(leads).collect();
+        for fence in fences {
+            self.nodes.iter_mut().for_each(|node| node.hear(fence, now));
+        }
+    }
+
+    /// Checks a change of the document and lets the ingress nodes know it.
+    fn check(&mut self, at: f64, writer: Option<usize>) {
+        let rollout = self.store.rollout().clone();
+        if rollout == self.last {
+            return;
+        }
+        let last = std::mem::replace(&mut self.last, rollout.clone());
+        self.outcome.max_share = self.outcome.max_share.max(rollout.share_ppm);
+        if last.phase.is_final() && last.to == rollout.to {
+            self.outcome.violations.push(format!("the end changed at {at:.2} s"));
+        }
+        if self.store.down {
+            self.outcome.violations.push(format!("a write without the store at {at:.2} s"));
+        }
+        let risen = rollout.share_ppm > last.share_ppm.max(UNPROVED_MAX_PPM);
+        if let (true, Some(writer)) = (risen, writer) {
+            let verdict = self.nodes[writer].controller.judge().map(|judge| judge.verdict());
+            if verdict != Some(Verdict::Proved) {
+                self.outcome.violations.push(format!("share raised on {verdict:?}"));
+            }
+        }
+        if rollout.phase.is_final() {
+            self.outcome.phase = Some(rollout.phase);
+            self.outcome.reason = rollout.reason.to_string();
+            self.outcome.ended = at;
+            if rollout.phase == RolloutPhase::Completed && wall(at) > rollout.deadline {
+                self.outcome.violations.push(format!("completed late at {at:.2} s"));
+            }
+        }
+        self.ingresses.iter_mut().for_each(|ingress| ingress.announce(&rollout, at));
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/rollout/world/ingress.rs
@@ -0,0 +1,66 @@
+//! An ingress node: its view of the rollout, its veto, its evidence.
+
+use oleandertiller_model::{NodeName, intent::Rollout};
+use oleandertiller_rollout::{
+    Arm, Attempt, Availability, Choice, Report, ServerId, Tally, Veto, split,
+};
+use rand::{Rng, rngs::StdRng};
+
+use super::servers::KINDS;
+
+/// One ingress node.
+pub struct Ingress {
+    pub name: NodeName,
+    /// Delay in seconds until it knows a new revision.
+    pub delay: f64,
+    pub veto: Veto,
+    /// Time since which a view that allows no new traffic has been in force.
+    pub rollout: Rollout,
+    pending: Vec<(f64, Rollout)>,
+    tally: Tally,
+    sequence: u64,
+}
+
+impl Ingress {
+    pub fn new(index: usize, rollout: &Rollout, rng: &mut StdRng) -> Self {
+        Self {
+            name: NodeName::new(format!("ingress-{index}")),
+            delay: rng.random_range(0.1..1.0),
+            veto: Veto::new(rollout, KINDS.len()),
+            rollout: rollout.clone(),
+            pending: Vec::new(),
+            tally: Tally::default(),
+            sequence: 0,
+        }
+    }
+
+    pub fn announce(&mut self, rollout: &Rollout, at: f64) {
+        self.pending.push((at + self.delay, rollout.clone()));
+    }
+
+    pub fn learn(&mut self, at: f64) {
+        while self.pending.first().is_some_and(|(due, _)| *due <= at) {
+            self.rollout = self.pending.remove(0).1;
+            if !self.veto.belongs_to(&self.rollout) {
+                self.veto = Veto::new(&self.rollout, KINDS.len());
+            }
+        }
+    }
+
+    pub fn pick(&self, availability: Availability, rng: &mut StdRng) -> Choice {
+        split::pick(&self.rollout, self.veto.is_in_force(), availability, rng.random())
+    }
+
+    pub fn observe(&mut self, server: ServerId, arm: Arm, kind: u8, attempt: Attempt, new: usize) {
+        self.tally.record(server, arm, kind, attempt);
+        self.veto.observe(server, arm, kind, attempt, new);
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.sequence += 1;
+        let tally = std::mem::take(&mut self.tally);
+        let mut report = tally.report("kettle".into(), self.name.clone(), self.sequence);
+        report.veto = self.veto.notice().cloned();
+        report
+    }
+}
