Veto lesser regressions and pass findings on without the store

A good version was at times rolled back at its time, since the proof came too late for the hold. Change: ingress nodes also run the sequential test on their own windows, adopt vetoes of a fifth of the callers, and adopt findings that the judging node returns on their reports. A finding needs no lease: it changes no document. Ruled out: a higher false-veto rate; an ingress needs about 20 failures, more than 5 s at a 10% share. An operator who starts again sets a new time.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -17,7 +17,8 @@
 
 use crate::{
     evidence::{Report, Tally, WINDOW},
-    judge::{Judge, JudgeConfig},
+    judge::{Judge, JudgeConfig, Verdict},
+    veto::VetoNotice,
 };
 
 use decision::{Decision, Situation};
@@ -30,7 +31,7 @@
     /// How long a controller is not heard before another takes over; longer than the lease.
     pub takeover_after: Duration,
     /// How long the new version has all traffic before the rollout completes; at most a quarter of
-    /// the time between start and deadline is used.
+    /// the time between start and deadline is used, and half of it is enough at the deadline.
     pub hold: Duration,
     /// Shortest time between two steps.
     pub step_min: Duration,
@@ -47,8 +48,8 @@
 impl Default for ControllerConfig {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(4),
-            takeover_after: Duration::from_secs(8),
+            lease: Duration::from_secs(3),
+            takeover_after: Duration::from_secs(5),
             hold: Duration::from_secs(60),
             step_min: Duration::from_secs(10),
             step_max: Duration::from_secs(120),
@@ -221,6 +222,18 @@
         self.lead.as_ref().map(|lead| &lead.judge)
     }
 
+    /// Returns what this node's judge found against the new version, to be sent to the ingress nodes
+    /// in answer to their reports.
+    ///
+    /// It needs no lease: it changes no document, it is evidence that stays true whoever drives the
+    /// rollout, and it can only move traffic towards the old version.
+    pub fn finding(&self) -> Option<VetoNotice> {
+        let (lead, view) = (self.lead.as_ref()?, self.view.as_ref()?);
+        let Verdict::Bad(finding) = lead.judge.verdict() else { return None };
+        let (version, started) = (view.rollout.to.clone(), view.rollout.started);
+        Some(VetoNotice { version, started, reason: finding.to_string().into() })
+    }
+
     /// Decides what to do now; to be called several times per window.
     pub fn tick(&mut self, facts: Facts, now: Instant, wall: SystemTime) -> Option<Proposed> {
         self.close_window(now);
--- a/crates/rollout/src/controller/decision.rs
+++ b/crates/rollout/src/controller/decision.rs
@@ -7,6 +7,7 @@
 use crate::{
     UNPROVED_MAX_PPM,
     judge::{Judge, Verdict},
+    veto::is_quorum,
 };
 
 use super::{ControllerConfig, Facts};
@@ -21,12 +22,6 @@
 /// of both versions then carry like load.
 const RECHECK_PPM: u32 = 500_000;
 
-/// Fewest vetoes that take a rollout back when there are more callers than that.
-const VETOES_MIN: usize = 2;
-
-/// Part of the callers whose vetoes take a rollout back: one in five.
-const VETO_CALLERS: usize = 5;
-
 /// What the controller knows.
 pub struct Situation<'a> {
     pub cfg: &'a ControllerConfig,
@@ -53,7 +48,7 @@
         if let Verdict::Bad(finding) = &verdict {
             return Some(taken_back(format!("rolled back: {finding}")));
         }
-        if self.vetoes >= self.vetoes_needed() {
+        if is_quorum(self.vetoes, self.callers) {
             let (vetoes, callers) = (self.vetoes, self.callers);
             let reason = format!("rolled back: {vetoes} of {callers} calling nodes vetoed it");
             return Some(taken_back(reason));
@@ -68,10 +63,6 @@
         lowered.or_else(|| self.advance(&verdict))
     }
 
-    fn vetoes_needed(&self) -> usize {
-        VETOES_MIN.max(self.callers.div_ceil(VETO_CALLERS)).min(self.callers.max(1))
-    }
-
     fn recheck(&self, verdict: &Verdict) -> Option<Decision> {
         if *verdict == Verdict::Proved || self.rollout.share_ppm <= RECHECK_PPM {
             return None;
@@ -104,8 +95,7 @@
             Ok(left) if self.in_step >= self.hold_time() => {
                 Some(format!("completed {} s before its time: {held}", left.as_secs()))
             }
-            // The hold ended by its time, but the store could not record it then.
-            Err(late) if self.in_step >= self.hold_time() + late.duration() => {
+            Err(late) if self.in_step >= self.hold_time() / 2 + late.duration() => {
                 let late = late.duration().as_secs();
                 Some(format!("completed by its time, recorded {late} s after it: {held}"))
             }
@@ -124,7 +114,9 @@
         if self.vetoes > 0 || (share >= UNPROVED_MAX_PPM && !proved) {
             return None;
         }
-        if share > 0 && self.in_step < self.interval() {
+        // An unproved version waits for evidence and not for the pace.
+        let wait = if proved { self.interval() } else { self.cfg.step_min };
+        if share > 0 && self.in_step < wait {
             return None;
         }
         let wanted = match share {
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -55,6 +55,10 @@
         self != Self::Failures
     }
 
+    fn proof_excess(self) -> f64 {
+        if self == Self::Failures { proof::FAILURE_EXCESS } else { proof::SLOW_EXCESS }
+    }
+
     /// Returns the part of the old version's answers that counts as slow.
     fn tail(self) -> Option<f64> {
         match self {
@@ -231,7 +235,8 @@
             let Some(bound) = slow_bound(measure, &old) else { return false };
             let events = |counts: &Counts| event(bound, counts);
             let new = self.new.values().map(events);
-            proof::is_proved(&new.collect::<Vec<_>>(), events(&old), false_proof)
+            let excess = measure.proof_excess();
+            proof::is_proved(&new.collect::<Vec<_>>(), events(&old), excess, false_proof)
         })
     }
 
--- a/crates/rollout/src/veto.rs
+++ b/crates/rollout/src/veto.rs
@@ -2,10 +2,17 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::SystemTime};
 
-use oleandertiller_model::{VersionName, intent::Rollout};
+use oleandertiller_model::{ServiceSpec, VersionName, intent::Rollout};
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{Arm, Attempt, ServerId, bucket_of};
+use crate::{
+    evidence::{Arm, Attempt, ServerId, Tally, bucket_of},
+    judge::{Judge, JudgeConfig, Verdict},
+};
+
+/// Probability that an ingress ever vetoes a version within the margin by its own judgement. Far
+/// below the controller's, since any of hundreds of ingress nodes can stop the rollout with it.
+const FALSE_VETO: f64 = 1e-6;
 
 /// Evidence at which a veto begins, as a natural logarithm. Three failures in a row reach it when
 /// the old version hardly fails; a good version that fails 2% of requests meets three in a row once
@@ -30,6 +37,18 @@
 /// Weight of one answer in the moving means of the old version.
 const MEAN_WEIGHT: f64 = 0.01;
 
+/// Fewest vetoes that count for all callers when there are more callers than that.
+const QUORUM_MIN: usize = 2;
+
+/// Part of the callers whose vetoes count for all: one in five. One caller alone may only have a bad
+/// path to the new servers.
+const QUORUM_PART: usize = 5;
+
+/// Returns whether the vetoes of some of the calling nodes count for all of them.
+pub fn is_quorum(vetoes: usize, callers: usize) -> bool {
+    vetoes >= QUORUM_MIN.max(callers.div_ceil(QUORUM_PART)).min(callers.max(1))
+}
+
 /// A veto as reported to the controller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -58,22 +77,32 @@
 }
 
 /// Local veto of one service's rollout at one ingress.
+///
+/// It acts on two kinds of evidence: at once on a run of bad answers, and window by window on the
+/// same sequential test as the controller's, which finds lesser regressions also without a store.
 #[derive(Clone, Debug)]
 pub struct Veto {
     version: VersionName,
     started: SystemTime,
     kinds: Vec<Baseline>,
+    names: Vec<Arc<str>>,
+    judge: Judge,
     scores: BTreeMap<(u8, ServerId), Scores>,
     notice: Option<VetoNotice>,
 }
 
 impl Veto {
-    /// Creates a veto that is not in force, for a service with this number of kinds.
-    pub fn new(rollout: &Rollout, kinds: usize) -> Self {
+    /// Creates a veto that is not in force.
+    pub fn new(rollout: &Rollout, service: &ServiceSpec) -> Self {
+        let names: Vec<Arc<str>> =
+            service.kinds.iter().map(|kind| kind.name.as_str().into()).collect();
+        let cfg = JudgeConfig { false_alarm: FALSE_VETO, ..JudgeConfig::default() };
         Self {
             version: rollout.to.clone(),
             started: rollout.started,
-            kinds: vec![Baseline::default(); kinds],
+            kinds: vec![Baseline::default(); names.len()],
+            judge: Judge::new(cfg, names.iter().cloned()),
+            names,
             scores: BTreeMap::new(),
             notice: None,
         }
@@ -117,6 +146,37 @@
         }
     }
 
+    /// Takes the evidence of one window of this ingress; to be called once a second.
+    pub fn close_window(&mut self, tally: &Tally) {
+        self.judge.observe(tally);
+        if self.notice.is_some() {
+            return;
+        }
+        if let Verdict::Bad(finding) = self.judge.verdict() {
+            self.enter_into_force(finding.to_string());
+        }
+    }
+
+    /// Takes a finding on all ingress nodes' evidence, and adopts it.
+    pub fn on_finding(&mut self, finding: &VetoNotice) {
+        let same = finding.version == self.version && finding.started == self.started;
+        if same && self.notice.is_none() {
+            self.notice = Some(finding.clone());
+        }
+    }
+
+    /// Takes the vetoes that other ingress nodes reported within the last seconds, one for each.
+    ///
+    /// `callers` counts all ingress nodes that report, this one included. Enough vetoes are adopted,
+    /// so that traffic leaves the version everywhere also while the controller cannot write.
+    pub fn on_peers<'a>(&mut self, notices: impl Iterator<Item = &'a VetoNotice>, callers: usize) {
+        let same = |n: &&VetoNotice| n.version == self.version && n.started == self.started;
+        let vetoes = notices.filter(same).count();
+        if self.notice.is_none() && is_quorum(vetoes, callers) {
+            self.enter_into_force(format!("{vetoes} of {callers} calling nodes vetoed it"));
+        }
+    }
+
     /// Returns the sum over servers. The worst of several is left out, since one slow or failing
     /// server does not show that its version is bad.
     fn sum(&self, kind: u8, new_servers: usize) -> Scores {
@@ -143,15 +203,16 @@
         let sum = self.sum(kind, new_servers);
         let what = match () {
             () if sum.failures >= VETO_AT => "failed",
-            () if sum.slow >= VETO_AT => "were over four times as slow as on the old version",
+            () if sum.slow >= VETO_AT => "took four times as long as on the old version",
             () => return,
         };
-        let reason = format!("most recent requests of kind {kind} to the new version {what}");
-        self.notice = Some(VetoNotice {
-            version: self.version.clone(),
-            started: self.started,
-            reason: reason.into(),
-        });
+        let name = &self.names[usize::from(kind)];
+        self.enter_into_force(format!("most recent `{name}` requests to the new version {what}"));
+    }
+
+    fn enter_into_force(&mut self, reason: String) {
+        let (version, started) = (self.version.clone(), self.started);
+        self.notice = Some(VetoNotice { version, started, reason: reason.into() });
     }
 }
 
