Test single rules of the judgement and of the control

Cause: with each of 18 rules removed in turn, the tests still passed for eight: the proof gate, the lease of `leads`, the own token, the weight of late starts, the load that servers bear, the rule for most of the traffic, the finding and the recheck. Other rules cover their absence in the scenarios. Ruled out: evenly spaced outcomes as evidence; they put all failures of the old version on one server, which is then left out as an outlier.

--- a/crates/rollout/tests/rollout/main.rs
+++ b/crates/rollout/tests/rollout/main.rs
@@ -4,5 +4,6 @@
 mod comparison;
 mod evidence;
 mod properties;
+mod rules;
 mod scenarios;
 mod world;
--- /dev/null
+++ b/crates/rollout/tests/rollout/rules.rs
@@ -0,0 +1,263 @@
+//! Single rules of the judgement and of the control, each by the smallest case that needs it.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_model::{
+    Action, NodeName, ServiceName,
+    intent::{PPM, RolloutPhase},
+};
+use oleandertiller_rollout::{
+    Arm, Attempt, Controller, ControllerConfig, Facts, Judge, Proposed, ServerId, Tally, Verdict,
+    Veto, VetoNotice,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::world::control::{Store, service, wall};
+
+const ROOM: Facts = Facts { new_limit: 50.0, in_flight: 10.0 };
+
+/// Adds requests to four servers: of each 100, `failed` fail and `slow` take four times as long.
+fn add(tally: &mut Tally, arm: Arm, requests: u32, failed: u32, slow: u32, rng: &mut StdRng) {
+    let first = if arm == Arm::New { 100 } else { 0 };
+    for _ in 0..requests {
+        let server = ServerId(first + rng.random_range(0..4));
+        for kind in 0..3 {
+            let place = rng.random_range(0..100);
+            let millis = if place < failed + slow { 80 } else { 20 };
+            let attempt = match place < failed {
+                true => Attempt::Failed,
+                false => Attempt::Done(Duration::from_millis(millis)),
+            };
+            tally.record(server, arm, kind, attempt);
+        }
+    }
+}
+
+fn judge() -> Judge {
+    let names = ["temper", "status", "lookup"].map(std::sync::Arc::from);
+    Judge::new(Default::default(), names)
+}
+
+/// Returns a window of the seed with requests, failures and slow answers of both versions.
+fn window(seed: u64, old: (u32, u32, u32), new: (u32, u32, u32)) -> Tally {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut tally = Tally::default();
+    add(&mut tally, Arm::Old, old.0, old.1, old.2, &mut rng);
+    add(&mut tally, Arm::New, new.0, new.1, new.2, &mut rng);
+    tally
+}
+
+fn is_bad(judge: &Judge) -> bool {
+    matches!(judge.verdict(), Verdict::Bad(_))
+}
+
+/// Guards against evidence from good minutes that outweighs a later regression.
+#[test]
+fn good_minutes_do_not_delay_a_later_verdict() {
+    let mut judge = judge();
+    for seed in 0..1_000 {
+        judge.observe(&window(seed, (300, 1, 5), (100, 1, 5)));
+    }
+    assert_eq!(judge.verdict(), Verdict::Proved);
+    let found = (1..=5).find(|seed| {
+        judge.observe(&window(*seed, (300, 1, 5), (100, 20, 5)));
+        is_bad(&judge)
+    });
+    assert!(found.is_some(), "not found within the 5 s of invariant 4");
+}
+
+/// Guards against a verdict on one burst, whatever its size.
+#[test]
+fn one_window_makes_no_verdict() {
+    let mut judge = judge();
+    judge.observe(&window(1, (300, 1, 5), (100, 1, 5)));
+    judge.observe(&window(2, (1_000, 0, 5), (1_000, 100, 0)));
+    assert!(!is_bad(&judge));
+}
+
+/// Guards against condemning a version whose servers carry more load than the old ones beside them.
+#[test]
+fn a_version_with_most_traffic_is_held_to_the_old_one_under_full_load() {
+    let mut judge = judge();
+    for seed in 0..100 {
+        judge.observe(&window(seed, (500, 1, 9), (100, 1, 9)));
+    }
+    for seed in 0..200 {
+        judge.observe(&window(seed, (100, 1, 3), (400, 1, 9)));
+    }
+    assert!(!is_bad(&judge), "{:?}", judge.verdict());
+    for seed in 0..10 {
+        judge.observe(&window(seed, (100, 1, 3), (400, 1, 60)));
+    }
+    assert!(is_bad(&judge));
+}
+
+/// Guards against a hold in which nothing is judged since the old version has no traffic.
+#[test]
+fn a_hold_is_judged_by_the_old_versions_past() {
+    let mut judge = judge();
+    for seed in 0..50 {
+        judge.observe(&window(seed, (300, 1, 5), (100, 1, 5)));
+    }
+    for seed in 0..5 {
+        judge.observe(&window(seed, (0, 0, 0), (400, 20, 5)));
+    }
+    assert!(is_bad(&judge));
+}
+
+/// A store, a node with its controller, and a clock.
+struct Pair {
+    origin: Instant,
+    at: f64,
+    store: Store,
+    controller: Controller,
+    sequence: u64,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let origin = Instant::now();
+        let cfg = ControllerConfig::default();
+        let controller = Controller::new(cfg, NodeName::new("node-0"), service(), origin);
+        Self { origin, at: 0.0, store: Store::new(300.0), controller, sequence: 0 }
+    }
+
+    fn now(&self) -> Instant {
+        self.origin + Duration::from_secs_f64(self.at)
+    }
+
+    fn confirm(&mut self) {
+        let now = self.now();
+        self.controller.on_rollout(Some(self.store.rollout()), now, now);
+    }
+
+    /// Lets a second pass and returns what the controller proposes.
+    fn propose(&mut self) -> Option<Proposed> {
+        self.at += 1.0;
+        self.controller.tick(ROOM, self.now(), wall(self.at))
+    }
+
+    fn report(&mut self, new: (u32, u32, u32)) {
+        self.sequence += 1;
+        let tally = window(self.sequence, (300, 1, 5), new);
+        let report = tally.report("kettle".into(), "ingress-0".into(), self.sequence);
+        self.controller.on_report(&report, self.now());
+    }
+
+    /// Runs with a store that is up for some seconds.
+    fn run(&mut self, seconds: usize, new: (u32, u32, u32)) {
+        for _ in 0..seconds {
+            self.confirm();
+            self.report(new);
+            if let Some(proposed) = self.propose() {
+                assert!(self.store.write(proposed.action, self.at));
+            }
+        }
+        self.confirm();
+    }
+}
+
+/// Guards against steps that cost a write and change nothing.
+#[test]
+fn a_held_rollout_writes_nothing() {
+    let mut pair = Pair::new();
+    // Too few requests for a proof.
+    let little = (0, 0, 0);
+    pair.run(60, little);
+    assert_eq!(pair.store.rollout().share_ppm, 50_000);
+    let revision = pair.store.intent.revision;
+    pair.run(60, little);
+    assert_eq!(pair.store.intent.revision, revision);
+}
+
+/// Guards against a controller that goes on after its lease, and a finding that needs the lease.
+#[test]
+fn without_the_store_a_controller_stops_and_its_finding_remains() {
+    let mut pair = Pair::new();
+    pair.run(20, (20, 1, 5));
+    assert!(pair.controller.leads(pair.now()).is_some());
+    pair.at += 4.0;
+    assert_eq!(pair.controller.leads(pair.now()), None);
+    assert_eq!(pair.controller.finding(), None);
+    for _ in 0..10 {
+        pair.report((100, 50, 5));
+        assert_eq!(pair.propose(), None);
+    }
+    let finding = pair.controller.finding().expect("a finding");
+    assert_eq!(finding.version.as_str(), "v2");
+    pair.confirm();
+    let proposed = pair.propose().expect("a step");
+    assert!(pair.store.write(proposed.action, pair.at));
+    assert_eq!(pair.store.rollout().phase, RolloutPhase::TakenBack);
+}
+
+/// Guards against the loser of a race for the rollout who uses the winner's token.
+#[test]
+fn the_loser_of_a_race_does_not_lead() {
+    let mut pair = Pair::new();
+    pair.confirm();
+    let proposed = std::iter::from_fn(|| Some(pair.propose())).take(3).flatten().next();
+    assert!(matches!(proposed.expect("a take-over").action, Action::TakeRollout { .. }));
+    let service = ServiceName::new("kettle");
+    assert!(pair.store.write(Action::TakeRollout { service, node: "node-9".into() }, pair.at));
+    pair.confirm();
+    assert_eq!(pair.controller.leads(pair.now()), None);
+}
+
+/// Guards against a restarted node that goes on under the token of its earlier process.
+#[test]
+fn a_restarted_node_takes_over_anew() {
+    let mut pair = Pair::new();
+    pair.run(10, (3, 0, 5));
+    let fence = pair.controller.leads(pair.now()).expect("leads");
+    let cfg = ControllerConfig::default();
+    pair.controller = Controller::new(cfg, NodeName::new("node-0"), service(), pair.now());
+    pair.confirm();
+    assert_eq!(pair.controller.leads(pair.now()), None);
+    pair.run(10, (3, 0, 5));
+    assert!(pair.controller.leads(pair.now()).expect("leads again") > fence);
+}
+
+/// Guards against a completion that the hold does not support, and one that is lost to an outage.
+#[test]
+fn a_hold_that_ended_by_its_time_completes_after_an_outage() {
+    let mut pair = Pair::new();
+    let good = (100, 1, 5);
+    while pair.store.rollout().phase != RolloutPhase::Holding {
+        pair.run(1, good);
+        assert!(pair.at < 200.0, "{:?}", pair.store.rollout());
+    }
+    pair.at = 320.0;
+    pair.confirm();
+    pair.propose().map(|proposed| pair.store.write(proposed.action, pair.at));
+    let rollout = pair.store.rollout();
+    assert_eq!((rollout.phase, rollout.share_ppm), (RolloutPhase::Completed, PPM));
+    assert!(rollout.reason.contains("recorded 21 s after"), "{}", rollout.reason);
+}
+
+/// Guards against a controller without evidence that goes on with most of the traffic.
+#[test]
+fn a_new_controller_lowers_a_large_share_until_it_has_proof() {
+    let mut pair = Pair::new();
+    let good = (100, 1, 5);
+    while pair.store.rollout().phase != RolloutPhase::Holding {
+        pair.run(1, good);
+        assert!(pair.at < 200.0, "{:?}", pair.store.rollout());
+    }
+    let cfg = ControllerConfig::default();
+    pair.controller = Controller::new(cfg, NodeName::new("node-0"), service(), pair.now());
+    pair.run(10, (0, 0, 0));
+    let rollout = pair.store.rollout();
+    assert_eq!((rollout.phase, rollout.share_ppm), (RolloutPhase::Advancing, 500_000));
+}
+
+/// Guards against a finding that does not reach an ingress whose own evidence is too weak.
+#[test]
+fn an_ingress_adopts_a_finding() {
+    let store = Store::new(300.0);
+    let rollout = store.rollout();
+    let mut veto = Veto::new(rollout, &service());
+    let (version, started) = (rollout.to.clone(), rollout.started);
+    veto.on_finding(&VetoNotice { version, started, reason: "test".into() });
+    assert!(veto.is_in_force());
+}
