--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -36,7 +36,8 @@
 
 /// Returns how long to wait between reports when `callers` nodes report `bytes` each.
 ///
-/// A tally goes on over the whole interval, so that longer intervals lose no counts.
+/// The ingress closes a window each second for its veto, and merges the windows of an interval into one
+/// report, so that longer intervals lose no counts.
 pub fn report_interval(callers: usize, bytes: usize) -> Duration {
     let seconds = (callers * bytes) as f64 / REPORT_BUDGET_BYTES as f64;
     Duration::from_secs_f64(seconds.ceil()).clamp(WINDOW, REPORT_INTERVAL_MAX)
