Serve the service-level burn from the node

Cause: /report gave plain counts, which the report command cannot read. Conclusion: the ingress records every request of a known kind, refusals included; /report carries the burn beside the counts.

--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: the services of one process beside one upstream.
 
+pub mod burn;
 pub mod config;
 pub mod conn;
 pub mod control;
@@ -198,7 +199,7 @@
         }
         let cfg = Arc::new(cfg);
 
-        let (timers, metrics) = (Timers::default(), Metrics::new());
+        let (timers, metrics) = (Timers::default(), Metrics::new(clock.now()));
         let owner =
             Owner::new(cfg.clone(), clock.clone(), view.clone(), timers.clone(), metrics.clone());
         let owner = Arc::new(owner);
--- a/src/node/control/report.rs
+++ b/src/node/control/report.rs
@@ -1,4 +1,5 @@
-//! `GET /report`: how requests have ended at this node's ingress since its start.
+//! `GET /report`: how requests have ended at this node's ingress since its start, and the
+//! service-level burn.
 
 use std::sync::Arc;
 
@@ -29,8 +30,12 @@
         let kinds = services.flat_map(|service| service.kinds.iter().map(move |k| (service, k)));
         let kinds = kinds.map(|(service, kind)| kind_report(&links.metrics, service, kind));
         let rejected = counts(&links.metrics, "", "");
+        let now = self.clock.now();
+        let burn = links.metrics.burn.report(links.node.name.clone(), &intent, now);
         json!({
-            "node": links.node.name,
+            "node": burn.node,
+            "since-seconds": burn.since_seconds,
+            "services": burn.services,
             "zone": links.node.zone,
             "started-ms": epoch_ms(self.started),
             "now-ms": epoch_ms(self.clock.wall()),
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -211,7 +211,7 @@
         };
         let asked = match self.admit(&head) {
             Ok(()) => head.asked,
-            Err(kind) => Err(refusal(&head, kind)),
+            Err(kind) => Err(self.refuse(&head, kind)),
         };
         if asked.is_err() && head.expects_continue {
             return self
@@ -276,6 +276,15 @@
         Err(ErrorKind::StaleIntent)
     }
 
+    /// Counts a request that the node does not take and returns what is said of it. A request with
+    /// a key may have run before, which only the key's keeper knows.
+    fn refuse(&self, head: &Head, kind: ErrorKind) -> ErrorKind {
+        let Ok(asked) = &head.asked else { return kind };
+        let kind = if asked.is_keyed() { ErrorKind::KeeperUnreachable } else { kind };
+        asked.route.metrics[asked.kind].burn.record(kind.outcome(), 0, self.clock.now());
+        kind
+    }
+
     /// Runs a request; drops it and returns `None` when the client goes.
     async fn run_until_gone(
         self: &Arc<Self>,
@@ -298,8 +307,10 @@
         };
         self.metrics.ingress_in_flight.dec();
         let outcome = ended.as_ref().map_or(ErrorKind::Cancelled.outcome(), |a| a.outcome);
-        let elapsed = self.clock.now().saturating_duration_since(started);
-        asked.route.metrics[asked.kind].count(outcome, elapsed.as_secs_f64());
+        let now = self.clock.now();
+        let metrics = &asked.route.metrics[asked.kind];
+        metrics.count(outcome, now.saturating_duration_since(started).as_secs_f64());
+        metrics.burn.record(outcome, ended.as_ref().map_or(0, |a| a.status), now);
         ended
     }
 
@@ -339,15 +350,6 @@
 /// and most requests are answered before their client can have lost interest.
 const WATCH_AFTER: Duration = Duration::from_millis(5);
 
-/// Returns what is said of a request that the node does not take. A request with a key may have
-/// run before, which only the key's keeper knows.
-fn refusal(head: &Head, kind: ErrorKind) -> ErrorKind {
-    match &head.asked {
-        Ok(asked) if asked.is_keyed() => ErrorKind::KeeperUnreachable,
-        _ => kind,
-    }
-}
-
 /// Longest time for which input is thrown away.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and histograms of the data plane.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use oleandertiller_model::{ErrorKind, Outcome};
 use prometheus_client::{
@@ -9,6 +9,8 @@
     registry::Registry,
 };
 
+use super::burn::{BurnBook, KindBurn};
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
     [0.0002, 0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 4.0];
@@ -57,6 +59,8 @@
     pub probe_bytes: Counter,
     /// Metrics of the control services.
     pub control: ControlMetrics,
+    /// Service-level burn.
+    pub burn: BurnBook,
 }
 
 /// Metrics of the control services.
@@ -121,7 +125,7 @@
 
 impl Metrics {
     /// Creates metrics that stand at zero.
-    pub fn new() -> Self {
+    pub fn new(start: Instant) -> Self {
         let mut metrics = Self {
             registry: Arc::default(),
             calls: Family::default(),
@@ -135,6 +139,7 @@
             probes: Counter::default(),
             probe_bytes: Counter::default(),
             control: ControlMetrics::default(),
+            burn: BurnBook::new(start),
         };
         metrics.registry = Arc::new(metrics.registered());
         metrics
@@ -171,7 +176,8 @@
         let labels = KindLabels { service: service.into(), kind: kind.into() };
         let done = self.calls.get_or_create(&labels.ended(Outcome::Done)).clone();
         let latency = self.latency.get_or_create(&labels).clone();
-        KindMetrics { labels, done, latency, calls: self.calls.clone() }
+        let burn = self.burn.kind(service, kind);
+        KindMetrics { labels, done, latency, calls: self.calls.clone(), burn }
     }
 
     /// Counts a request that named no known kind.
@@ -202,12 +208,6 @@
     }
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl KindLabels {
     fn ended(&self, outcome: Outcome) -> CallLabels {
         CallLabels {
@@ -226,6 +226,8 @@
     done: Counter,
     latency: Histogram,
     calls: Family<CallLabels, Counter>,
+    /// Service-level burn.
+    pub burn: KindBurn,
 }
 
 impl KindMetrics {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests with real processes.
 
+mod burn;
 mod control;
 mod dataplane;
 mod keyed;
