--- a/tests/testsuite/control.rs
+++ b/tests/testsuite/control.rs
@@ -1,5 +1,6 @@
 //! Nodes as processes: membership, intent and planned stops.
 
+mod operators;
 mod stops;
 mod zones;
 
