Test that nothing runs past the time to serve

Cause: in a trial with the freshness check switched off, the test of a paused process still passed, so it did not guard the check. The new test of owner and ingress fails in that trial. The process test now fills the paused node's gossip buffer and pauses for 2 s, below the 3 s after which the upstream counts as absent; it still passes in the trial, so on its own it does not prove the check.

--- a/tests/testsuite/control/zones.rs
+++ b/tests/testsuite/control/zones.rs
@@ -1,6 +1,9 @@
 //! Zones that are taken out of service and brought back.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::{Duration, Instant},
+};
 
 use async_std::task;
 use oleandertiller_standin::http::Client;
@@ -16,6 +19,10 @@
 /// Time over which a returning zone ramps up, as the settings have it by default.
 const ZONE_RAMP: Duration = Duration::from_secs(10);
 
+/// Length of the pause: over the 1 s that counts as one, and below the 3 s after which the node
+/// takes its upstream for absent and would refuse work for that reason.
+const PAUSE: Duration = Duration::from_secs(2);
+
 fn plans() -> [Plan; 3] {
     [
         Plan::new("a-1", "zone-a", "kettle"),
@@ -103,6 +110,14 @@
     });
 }
 
+/// Fills the receive buffer of a paused process with datagrams that mean nothing.
+fn fill_buffer(address: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..2_000 {
+        socket.send_to(&[0xff; 1_000], address).unwrap();
+    }
+}
+
 /// Guards against work on an old intent right after a pause: requests that arrived during the
 /// pause are the first thing that the process sees when it resumes.
 #[test]
@@ -115,6 +130,8 @@
             clients.push(Client::connect(b.client).await.unwrap());
         }
         b.process.signal("STOP");
+        // Without this the gossip that waits in the socket's buffer would tell of the command.
+        fill_buffer(b.gossip);
         a.command("zone zone-b out").await;
         fleet.store.set_faults(r#"{"down":true}"#).await;
         let before = b.record().await.run;
@@ -127,7 +144,7 @@
             })
         });
         let waiting: Vec<_> = waiting.collect();
-        task::sleep(ZONE_OUT_TARGET).await;
+        task::sleep(PAUSE).await;
         b.process.signal("CONT");
         for answer in waiting {
             let (status, reason) = answer.await;
--- a/tests/testsuite/dataplane/flow.rs
+++ b/tests/testsuite/dataplane/flow.rs
@@ -246,6 +246,23 @@
     });
 }
 
+/// Guards against work on a view that nobody has confirmed since, as after a pause, at the owner
+/// and at the ingress.
+#[test]
+fn nothing_runs_past_the_time_to_serve() {
+    block_on(async {
+        let (ingress, owner) = pair().await;
+        let until = std::time::Instant::now() + Duration::from_millis(50);
+        owner.view.set_serve_until(Some(until));
+        task::sleep(Duration::from_millis(100)).await;
+        let mut client = Client::connect(ingress.node.client_addr()).await;
+        assert_eq!(client.get("/kettle/temper").await.header("x-reason"), "stale-intent");
+        ingress.view.set_serve_until(Some(until));
+        assert_eq!(client.get("/kettle/temper").await.header("x-reason"), "stale-intent");
+        assert_eq!(owner.upstream.record.runs(), 0);
+    });
+}
+
 /// Guards against a refusal reaching the client while another owner has room.
 #[test]
 fn a_refusal_is_retried_at_another_owner() {
