--- a/tests/testsuite/burn.rs
+++ b/tests/testsuite/burn.rs
@@ -8,8 +8,8 @@
 use crate::processes::{Fleet, Plan};
 
 fn report(args: &[&str]) -> String {
-    let output = Command::new(env!("CARGO_BIN_EXE_oleandertiller")).arg("report").args(args);
-    let output = output.output().unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oleandertiller"));
+    let output = command.arg("report").args(args).output().unwrap();
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     String::from_utf8(output.stdout).unwrap()
 }
