--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -108,7 +108,10 @@
         let (instance, version) = (announcement.instance.clone(), announcement.version.clone());
         let restarted = self.lock().announce(announcement, now);
         if restarted {
-            log::info!("upstream instance {instance} of version {version} is {lifecycle:?}");
+            let what = format!("upstream of {}", self.cfg.name);
+            let to = format!("instance {instance} of version {version}, {lifecycle:?}");
+            let change = StateChange::new(what, "another instance or none", to);
+            change.with_why("it announced itself").log();
             self.pool.clear();
         }
         Ok(())
