--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -27,11 +27,14 @@
     pool::Pool,
     state::{Announcement, State, Waiting},
 };
-use crate::node::{
-    config::NodeConfig,
-    metrics::Metrics,
-    timer::Timers,
-    view::{View, ViewCell},
+use crate::{
+    node::{
+        config::NodeConfig,
+        metrics::Metrics,
+        timer::Timers,
+        view::{View, ViewCell},
+    },
+    telemetry::StateChange,
 };
 
 /// Keeper of the local upstream's limit, connections and life cycle.
