Keep request ids as clients send them, and pass on more methods

Cause: an x-request-id that is no UUID in its usual form was refused, and a UUID in another form came back changed; PUT, PATCH and DELETE were refused. Ruled out: text for every id (an allocation a call; a UUID needs none).

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod message;
 pub mod name;
+pub mod request;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use error::{Answer, ErrorKind, Outcome};
@@ -17,3 +18,4 @@
 pub use kind::{KindSpec, Safety, ServiceSpec};
 pub use load::{Lifecycle, LoadReport};
 pub use name::{KindName, NodeName, RegionName, ServiceName, VersionName, ZoneName};
+pub use request::RequestId;
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -6,16 +6,15 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use uuid::Uuid;
-
 use crate::{
     error::Outcome,
     intent::{Change, Intent, Keeper, Revision},
     key::IdempotencyKey,
     load::LoadReport,
     name::{KindName, ServiceName},
+    request::RequestId,
 };
+use serde::{Deserialize, Serialize};
 
 /// Path of the `h2` stream that carries a call.
 pub const CALL_PATH: &str = "/call";
@@ -50,7 +49,7 @@
     /// Must be [`crate::codec::PROTOCOL_VERSION`].
     pub protocol: u16,
     /// The request's own id from end to end.
-    pub request: Uuid,
+    pub request: RequestId,
     /// What the receiver is to do.
     pub role: Role,
     /// Service called.
@@ -83,7 +82,7 @@
     /// Must be [`crate::codec::PROTOCOL_VERSION`].
     pub protocol: u16,
     /// Id of the request that is answered.
-    pub request: Uuid,
+    pub request: RequestId,
     /// How the attempt ended.
     pub outcome: Outcome,
     /// HTTP status of the upstream, when the outcome is done.
--- /dev/null
+++ b/crates/model/src/request.rs
@@ -0,0 +1,55 @@
+//! Ids of requests.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+/// Longest id accepted, in bytes.
+pub const REQUEST_ID_MAX_BYTES: usize = 128;
+
+/// Id of a request from end to end, as the client chose it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestId {
+    /// A UUID in its usual form; takes no allocation.
+    Uuid(Uuid),
+    /// Any other visible ASCII text.
+    Text(Arc<str>),
+}
+
+impl RequestId {
+    /// Reads an id; `None` when it is empty, too long or not visible ASCII.
+    pub fn parse(text: &str) -> Option<Self> {
+        let visible = text.bytes().all(|b| b.is_ascii_graphic());
+        if text.is_empty() || text.len() > REQUEST_ID_MAX_BYTES || !visible {
+            return None;
+        }
+        let uuid = Uuid::try_parse(text).ok().map(Self::Uuid).filter(|id| id.is(text));
+        Some(uuid.unwrap_or_else(|| Self::Text(text.into())))
+    }
+
+    /// Returns whether `text` is this id, letter by letter.
+    pub fn is(&self, text: &str) -> bool {
+        match self {
+            Self::Uuid(id) => *id.hyphenated().encode_lower(&mut Uuid::encode_buffer()) == *text,
+            Self::Text(id) => **id == *text,
+        }
+    }
+}
+
+impl From<Uuid> for RequestId {
+    fn from(id: Uuid) -> Self {
+        Self::Uuid(id)
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Uuid(id) => id.fmt(f),
+            Self::Text(id) => f.write_str(id),
+        }
+    }
+}
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -27,10 +27,9 @@
     AsyncReadExt,
     future::{Either, select},
 };
-use oleandertiller_model::{Clock, ErrorKind};
+use oleandertiller_model::{Clock, ErrorKind, RequestId};
 use oleandertiller_routing::budget::Budget;
 use tide::http::Request;
-use uuid::Uuid;
 
 use self::{
     answer::Answer,
@@ -98,7 +97,7 @@
 
 /// What the head of a request says about the request itself and its connection.
 struct Head {
-    id: Uuid,
+    id: RequestId,
     body: BodyKind,
     asked: Result<Asked, ErrorKind>,
     fresh: bool,
@@ -215,7 +214,7 @@
         };
         if asked.is_err() && head.expects_continue {
             return self
-                .reject(conn, Some(head.id), asked.err().unwrap_or(ErrorKind::Internal))
+                .reject(conn, Some(&head.id), asked.err().unwrap_or(ErrorKind::Internal))
                 .await;
         }
         if head.expects_continue {
@@ -225,11 +224,11 @@
         let read = read_body(conn, &mut req, head.body, self.cfg.body_max_bytes);
         let body = match self.timers.within(body_end, read).await {
             Some(Ok(body)) => body,
-            Some(Err(kind)) => return self.reject(conn, Some(head.id), kind).await,
-            None => return self.reject(conn, Some(head.id), ErrorKind::SlowClient).await,
+            Some(Err(kind)) => return self.reject(conn, Some(&head.id), kind).await,
+            None => return self.reject(conn, Some(&head.id), ErrorKind::SlowClient).await,
         };
         let answer = match asked {
-            Ok(asked) => match self.run_until_gone(conn, &asked, head.id, body).await {
+            Ok(asked) => match self.run_until_gone(conn, &asked, head.id.clone(), body).await {
                 Some(answer) => answer,
                 None => return Ok(Next::Close),
             },
@@ -239,7 +238,7 @@
             }
         };
         let close = head.close || self.owner.is_draining();
-        self.write(conn, answer, Some(head.id), close).await?;
+        self.write(conn, answer, Some(&head.id), close).await?;
         Ok(if close { Next::Close } else { Next::KeepAlive })
     }
 
@@ -290,7 +289,7 @@
         self: &Arc<Self>,
         conn: &Conn,
         asked: &Asked,
-        id: Uuid,
+        id: RequestId,
         body: Bytes,
     ) -> Option<Answer> {
         let started = self.clock.now();
@@ -315,7 +314,12 @@
     }
 
     /// Answers a request whose end cannot be told, after which the connection is useless.
-    async fn reject(&self, conn: &Conn, id: Option<Uuid>, kind: ErrorKind) -> io::Result<Next> {
+    async fn reject(
+        &self,
+        conn: &Conn,
+        id: Option<&RequestId>,
+        kind: ErrorKind,
+    ) -> io::Result<Next> {
         self.metrics.count_rejected(kind.outcome());
         self.write(conn, Answer::of_kind(kind), id, true).await?;
         Ok(Next::Linger)
@@ -325,7 +329,7 @@
         &self,
         conn: &Conn,
         answer: Answer,
-        id: Option<Uuid>,
+        id: Option<&RequestId>,
         close: bool,
     ) -> io::Result<()> {
         let (head, body) = answer.encode(id, close);
--- a/src/node/ingress/answer.rs
+++ b/src/node/ingress/answer.rs
@@ -3,9 +3,8 @@
 use std::io::Write;
 
 use bytes::Bytes;
-use oleandertiller_model::{ErrorKind, Outcome, VersionName};
+use oleandertiller_model::{ErrorKind, Outcome, RequestId, VersionName};
 use tide::http::StatusCode;
-use uuid::Uuid;
 
 /// How a request ended, as the client is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,7 +33,7 @@
     }
 
     /// Encodes the head; returns it with the body.
-    pub fn encode(self, request: Option<Uuid>, close: bool) -> (Vec<u8>, Bytes) {
+    pub fn encode(self, request: Option<&RequestId>, close: bool) -> (Vec<u8>, Bytes) {
         match self.outcome.kind() {
             None => {
                 let head = self.head(request, close, self.status, self.body.len());
@@ -48,7 +47,7 @@
         }
     }
 
-    fn head(&self, request: Option<Uuid>, close: bool, status: u16, len: usize) -> Vec<u8> {
+    fn head(&self, request: Option<&RequestId>, close: bool, status: u16, len: usize) -> Vec<u8> {
         let mut head = Vec::with_capacity(512 + len.min(4096));
         let reason = StatusCode::try_from(status).map_or("", |code| code.canonical_reason());
         let outcome = self.outcome.label();
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -4,12 +4,11 @@
 
 use bytes::Bytes;
 use oleandertiller_model::{
-    Clock, ErrorKind, LoadReport, NodeName, Outcome, Safety,
+    Clock, ErrorKind, LoadReport, NodeName, Outcome, RequestId, Safety,
     codec::PROTOCOL_VERSION,
     message::{CallHead, ReplyHead, Role},
 };
 use oleandertiller_routing::outcome::may_retry;
-use uuid::Uuid;
 
 use super::{Ingress, answer::Answer, request::Asked, route::Picked};
 
@@ -18,7 +17,12 @@
 
 impl<C: Clock> Ingress<C> {
     /// Runs an accepted request until it has an answer.
-    pub(super) async fn run(self: &Arc<Self>, asked: &Asked, request: Uuid, body: Bytes) -> Answer {
+    pub(super) async fn run(
+        self: &Arc<Self>,
+        asked: &Asked,
+        request: RequestId,
+        body: Bytes,
+    ) -> Answer {
         let mut call = self.call_head(asked, request);
         if asked.is_keyed() {
             return self.run_keyed(asked, &mut call, &body).await;
@@ -111,7 +115,7 @@
         taken
     }
 
-    fn call_head(&self, asked: &Asked, request: Uuid) -> CallHead {
+    fn call_head(&self, asked: &Asked, request: RequestId) -> CallHead {
         CallHead {
             protocol: PROTOCOL_VERSION,
             request,
--- a/src/node/ingress/keyed.rs
+++ b/src/node/ingress/keyed.rs
@@ -153,7 +153,7 @@
         deadline: Instant,
         body: Bytes,
     ) -> (ReplyHead, Bytes) {
-        let request = call.request;
+        let request = call.request.clone();
         let answer = self.keep(call, deadline, body).await;
         let answer = answer.unwrap_or_else(|| Answer::of_kind(ErrorKind::StaleIntent));
         let mut load = self.owner.load();
--- a/src/node/ingress/request.rs
+++ b/src/node/ingress/request.rs
@@ -5,12 +5,17 @@
     time::{Duration, Instant},
 };
 
-use oleandertiller_model::{ErrorKind, IdempotencyKey, KindSpec, Safety, message::CallHead};
+use oleandertiller_model::{
+    ErrorKind, IdempotencyKey, KindSpec, RequestId, Safety, message::CallHead,
+};
 use tide::http::{Method, Request, headers::CONTENT_LENGTH};
-use uuid::{Builder, Uuid};
+use uuid::Builder;
 
 use super::route::ServiceRoute;
 
+/// Methods that are passed on to upstreams.
+pub const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
+
 /// A request whose head is accepted.
 pub struct Asked {
     /// Service that is called.
@@ -59,7 +64,7 @@
             kind,
             deadline,
             depth: call.depth,
-            method: if call.method == "GET" { "GET" } else { "POST" },
+            method: METHODS.into_iter().find(|method| *method == call.method).unwrap_or("POST"),
             path: call.path.clone(),
             content_type: call.content_type.clone(),
             key: call.key.zip(call.key_text.clone()),
@@ -80,11 +85,11 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::BadRequest`] when the client's id is no UUID.
-pub fn request_id(req: &Request) -> Result<Uuid, ErrorKind> {
+/// Returns [`ErrorKind::BadRequest`] when the client's id is too long or not visible ASCII.
+pub fn request_id(req: &Request) -> Result<RequestId, ErrorKind> {
     match single(req, "x-request-id")? {
-        Some(text) => Uuid::try_parse(text).map_err(|_| ErrorKind::BadRequest),
-        None => Ok(Builder::from_random_bytes(rand::random()).into_uuid()),
+        Some(text) => RequestId::parse(text).ok_or(ErrorKind::BadRequest),
+        None => Ok(Builder::from_random_bytes(rand::random()).into_uuid().into()),
     }
 }
 
@@ -118,6 +123,9 @@
     let method = match req.method() {
         Method::Get => "GET",
         Method::Post => "POST",
+        Method::Put => "PUT",
+        Method::Patch => "PATCH",
+        Method::Delete => "DELETE",
         _ => return Err(ErrorKind::BadRequest),
     };
     let url = req.url();
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -162,7 +162,7 @@
         }
         let head = ReplyHead {
             protocol: PROTOCOL_VERSION,
-            request: call.request,
+            request: call.request.clone(),
             outcome,
             status: answer.status,
             content_type: answer.content_type,
@@ -209,7 +209,7 @@
         }
         let head = encode_head(call, upstream.address, remaining, body.len());
         let head = head.map_err(Outcome::NotRun)?;
-        let work = exchange(&conn, head, body, call.request, self.cfg.body_max_bytes);
+        let work = exchange(&conn, head, body, &call.request, self.cfg.body_max_bytes);
         // Dropping the connection tells the upstream that the request is cancelled.
         let result = self.timers.within(deadline, work).await;
         let answer = result.unwrap_or(Err(ErrorKind::UpstreamTimeout)).map_err(Outcome::Unknown)?;
--- a/src/node/owner/exchange.rs
+++ b/src/node/owner/exchange.rs
@@ -5,11 +5,10 @@
 use async_h1::client;
 use bytes::Bytes;
 use futures_util::AsyncReadExt;
-use oleandertiller_model::{ErrorKind, message::CallHead};
+use oleandertiller_model::{ErrorKind, RequestId, message::CallHead};
 use tide::http::{Response, headers::CONTENT_LENGTH};
-use uuid::Uuid;
 
-use crate::node::{config::HEAD_MAX_BYTES, conn::Conn};
+use crate::node::{config::HEAD_MAX_BYTES, conn::Conn, ingress::request::METHODS};
 
 /// A whole answer of the upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,7 +42,7 @@
     body_len: usize,
 ) -> Result<Vec<u8>, ErrorKind> {
     let path = upstream_path(call).ok_or(ErrorKind::BadRequest)?;
-    let method_valid = matches!(call.method.as_str(), "GET" | "POST");
+    let method_valid = METHODS.contains(&call.method.as_str());
     let texts = [Some(path), call.content_type.as_deref(), call.key_text.as_deref()];
     if !method_valid || path.contains(' ') || !texts.iter().flatten().all(|t| is_header_safe(t)) {
         return Err(ErrorKind::BadRequest);
@@ -84,7 +83,7 @@
     conn: &Conn,
     head: Vec<u8>,
     body: &[u8],
-    request: Uuid,
+    request: &RequestId,
     body_max: usize,
 ) -> Result<Answer, ErrorKind> {
     let written = conn.write_message(head, body).await;
@@ -109,10 +108,12 @@
 }
 
 /// Checks that the answer belongs to the request.
-fn check_id(answer: &Response, request: Uuid) -> Result<(), ErrorKind> {
+fn check_id(answer: &Response, request: &RequestId) -> Result<(), ErrorKind> {
     let echoed = answer.header("x-request-id").filter(|values| values.iter().count() == 1);
-    let echoed = echoed.and_then(|values| Uuid::try_parse(values.last().as_str()).ok());
-    if echoed == Some(request) { Ok(()) } else { Err(ErrorKind::MismatchedAnswer) }
+    match echoed {
+        Some(values) if request.is(values.last().as_str()) => Ok(()),
+        _ => Err(ErrorKind::MismatchedAnswer),
+    }
 }
 
 async fn read_body(
