--- /dev/null
+++ b/crates/routing/tests/limit/main.rs
@@ -0,0 +1,21 @@
+//! What the owner's limiter must always hold.
+
+mod properties;
+mod rules;
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_model::Lifecycle;
+use oleandertiller_routing::limit::{Ask, LimitConfig, Limiter};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn serving(cfg: LimitConfig, slots: u32, now: Instant) -> Limiter {
+    let mut limiter = Limiter::new(cfg);
+    limiter.on_announce(Lifecycle::Serving, slots, false, now);
+    limiter
+}
+
+fn ask(ticket: u64, now: Instant) -> Ask {
+    Ask { ticket, weight: 1, depth: 0, deadline: now + Duration::from_secs(10) }
+}
