Stop pings to the last reachable member of a zone from multiplying

Cause: each answer of a member of an unreachable zone made a burst of three pings to the zone. The zone counts as reachable after answers of two different members; where only one answers, each of its answers made up to three more pings to it, and the number of datagrams grew without bound.

Ruled out: the hints from received datagrams and from rumours, which are limited to one burst a second.

An answer now makes a burst only when it is the member's first in the window, or as a hint at most once a second.

--- a/crates/fleet/src/membership/merge.rs
+++ b/crates/fleet/src/membership/merge.rs
@@ -221,9 +221,12 @@
             return;
         }
         let members = self.table.slots_of_zone(&zone).len();
+        // Answers to the burst of an answer must not make bursts again: where one member is all
+        // that answers, pings would multiply without end.
+        let burst = !self.zones.has_answered(&zone, slot) || self.zones.hint(&zone, now);
         if self.zones.answered(&zone, slot, members, now) {
             self.end_outage(&zone, now);
-        } else {
+        } else if burst {
             self.ping_zone(&zone, zones::PROBE_BURST, now);
         }
     }
--- a/crates/fleet/src/membership/zones.rs
+++ b/crates/fleet/src/membership/zones.rs
@@ -89,6 +89,11 @@
         due
     }
 
+    /// Returns whether the member is among those whose answers count.
+    pub fn has_answered(&self, zone: &ZoneName, slot: u32) -> bool {
+        self.outages.get(zone).is_some_and(|outage| outage.answers.contains_key(&slot))
+    }
+
     /// Notes that a member of an unreachable zone answered a ping. Returns whether the zone counts
     /// as reachable with that.
     pub fn answered(&mut self, zone: &ZoneName, slot: u32, members: usize, now: Instant) -> bool {
