--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -40,6 +40,7 @@
         let mut tried: Vec<NodeName> = Vec::new();
         let mut last = Answer::of_kind(ErrorKind::NoUpstream);
         let mut doubt: Option<ErrorKind> = None;
+        let mut failed: Option<Answer> = None;
         loop {
             let now = self.clock.now();
             if now >= asked.deadline {
@@ -57,11 +58,14 @@
             if !is_retryable(&last, safety) {
                 break;
             }
+            if last.outcome == Outcome::Done {
+                failed = Some(last.clone());
+            }
         }
         if tried.is_empty() && self.clock.now() >= asked.deadline {
             last = Answer::of_kind(ErrorKind::DeadlineExceeded);
         }
-        settle(last, doubt)
+        settle(last, doubt, failed)
     }
 
     async fn attempt(
@@ -150,8 +154,11 @@
 }
 
 /// Returns the answer after all attempts. A refusal of the last attempt does not prove that the
-/// request was not run when an earlier attempt may have run it.
-fn settle(mut last: Answer, doubt: Option<ErrorKind>) -> Answer {
+/// request was not run when an earlier attempt ran it, whose answer is then given, or may have.
+fn settle(mut last: Answer, doubt: Option<ErrorKind>, failed: Option<Answer>) -> Answer {
+    if let (Outcome::NotRun(_) | Outcome::Unknown(_), Some(failed)) = (last.outcome, failed) {
+        return failed;
+    }
     if let (Outcome::NotRun(_), Some(kind)) = (last.outcome, doubt) {
         last.outcome = Outcome::Unknown(kind);
     }
