Add `bench capacity` for the slopes behind the capacity page

Membership, spread, loss and return of a part of the fleet, the intent document, the ledger, selection, calls to the store and idle node processes, each a subcommand; `bench capacity all` makes the tables again.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,5 +1,6 @@
 //! Subcommands, one module each.
 
+pub mod capacity;
 pub mod compare;
 pub mod path;
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! requests and its delay is not hidden.
 
 pub mod arrivals;
+pub mod capacity;
 pub mod checks;
 pub mod fleet;
 pub mod load;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(cmd::capacity::Capacity),
     Compare(cmd::compare::Compare),
     Path(cmd::path::PathArgs),
 }
@@ -23,6 +24,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     let done = match args.command {
+        Command::Capacity(args) => cmd::capacity::run(&args),
         Command::Compare(args) => cmd::compare::run(&args),
         Command::Path(args) => cmd::path::run(&args),
     };
