--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod entries;
 mod exploration;
 mod membership;
+mod outage;
 mod properties;
 mod store;
 mod units;
