Run the demo on both example deployments

`demo` starts 20 nodes with full control services, their stand-in upstreams and a store for each deployment in one process on loopback, applies an open-loop load with client repeats, takes a zone out of service and back by operator commands, and reports latency, outcomes and invariants. The exit status is not 0 when an invariant did not hold or a kind got no answer.

Causes of the changes beside it: - The start of a node moves from `cmd/node.rs` to `node::daemon::Daemon`, which the demo uses as well. - The load generator moves from `bench` to `oleandertiller-load`, since the root crate cannot depend on `bench`. - Nodes accept only UUIDs as `x-request-id`. The load generator and the stand-in's nested calls sent other ids, so every call through a node was answered `bad-request`. Both now send UUIDs. - The load generator keeps the ids of `not-run` answers, to be compared with what upstreams ran.

The executor gets one thread per core, 4 to 16: with the 2 threads of a node, a long step of one of the 20 nodes delays the timers of all others.

The command-line test expected status 1 from the stub `demo`; a node without its settings file takes that place, and `tests/cli/demo.rs` runs a short demo.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,15 +1,9 @@
-//! Load and experiment tool for oleandertiller.
-//!
-//! The load is open-loop: arrivals follow a seeded schedule whether or not earlier answers have
-//! come, and latency counts from the intended start, so that a stalled server is not spared
-//! requests and its delay is not hidden.
+//! Experiment tool for oleandertiller: fleets of processes, their resources, and plots. The load
+//! is that of `oleandertiller-load`.
 
-pub mod arrivals;
-pub mod checks;
 pub mod fleet;
-pub mod load;
 pub mod plot;
 pub mod process;
 pub mod settings;
-pub mod stats;
-pub mod workload;
+
+pub use oleandertiller_load::{arrivals, checks, load, stats, workload};
--- a/crates/bench/src/checks.rs
+++ b/crates/load/src/checks.rs
@@ -1,6 +1,6 @@
 //! Invariants checked on the records of all upstreams of a run.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use oleandertiller_standin::Record;
 use serde::{Deserialize, Serialize};
@@ -43,3 +43,10 @@
         self.draining_late += other.draining_late;
     }
 }
+
+/// Counts the ids among `not_run` that an upstream ran. The records must hold request ids.
+pub fn false_not_run(not_run: &[String], records: &[Record]) -> u64 {
+    let run: BTreeSet<&str> =
+        records.iter().flat_map(|record| record.requests.keys()).map(String::as_str).collect();
+    not_run.iter().filter(|id| run.contains(id.as_str())).count() as u64
+}
--- a/crates/bench/src/load.rs
+++ b/crates/load/src/load.rs
@@ -14,7 +14,7 @@
 
 pub use route::{ClientPolicy, Route};
 
-use client::Caller;
+use client::{Answered, Caller};
 
 /// Time that the generator waits for the last answers after the last deadline.
 const DRAIN: Duration = Duration::from_secs(1);
@@ -76,6 +76,12 @@
 /// Runs a plan to its end and returns what the clients saw.
 pub fn run(plan: Plan) -> Stats {
     let collected = Arc::new(Mutex::new(Stats::new()));
+    run_into(plan, &collected);
+    std::mem::take(&mut *collected.lock().unwrap())
+}
+
+/// Runs a plan to its end and adds what the clients see to `collected` as they see it.
+pub fn run_into(plan: Plan, collected: &Arc<Mutex<Stats>>) {
     let longest = plan.kinds.iter().map(|kind| kind.deadline).max().unwrap_or_default();
     let wait = (longest + plan.client_delay * 2) * (plan.repeats as u32 + 1) + DRAIN;
     let arrivals = Arrivals::new(plan.seed, plan.profile, plan.length, &plan.kinds);
@@ -98,15 +104,14 @@
     drop(open);
     // Completes when the last request has dropped its sender.
     let _ = task::block_on(async_std::future::timeout(wait, ended.recv()));
-    std::mem::take(&mut *collected.lock().unwrap())
 }
 
 async fn one(caller: &Caller, arrival: Arrival, start: Instant, collected: &Mutex<Stats>) {
     let intended = start + arrival.at;
     let lateness = intended.elapsed();
     let kind = caller.kind(arrival.kind);
-    let (ended, repeats) = caller.request(kind, &arrival, intended).await;
+    let Answered { ended, repeats, not_run } = caller.request(kind, &arrival, intended).await;
     let latency = intended.elapsed();
-    let sample = Sample { kind, at: arrival.at, lateness, latency, repeats, ended };
+    let sample = Sample { kind, at: arrival.at, lateness, latency, repeats, ended, not_run };
     collected.lock().unwrap().add(sample);
 }
--- a/crates/bench/src/load/client.rs
+++ b/crates/load/src/load/client.rs
@@ -23,6 +23,15 @@
 /// Time past its deadline after which a client stops waiting for an answer.
 const PATIENCE: Duration = Duration::from_millis(100);
 
+/// Bits of a request id that tell the attempts of one request apart.
+const ATTEMPT_BITS: u32 = 16;
+
+/// Number of the first attempt.
+const FIRST: u16 = 0;
+
+/// Number of the attempt that is sent at the same time as the first; repeats follow.
+const DUPLICATE: u16 = 1;
+
 /// Connections to one address.
 #[derive(Default)]
 struct Peer {
@@ -39,6 +48,14 @@
     }
 }
 
+/// What came of one request and its repeats.
+pub struct Answered {
+    pub ended: Ended,
+    pub repeats: u64,
+    /// Ids of the attempts that were answered as not run.
+    pub not_run: Vec<String>,
+}
+
 pub struct Caller {
     plan: Plan,
     peers: HashMap<SocketAddr, Peer>,
@@ -77,35 +94,62 @@
     }
 
     /// Sends a request, with repeats where the plan has them, and returns how it ended.
-    pub async fn request(
-        &self,
-        kind: &LoadKind,
-        arrival: &Arrival,
-        intended: Instant,
-    ) -> (Ended, u64) {
+    pub async fn request(&self, kind: &LoadKind, arrival: &Arrival, intended: Instant) -> Answered {
         let mut rng = StdRng::seed_from_u64(arrival.seed);
         let message = self.message(kind, arrival, &mut rng);
-        let id = format!("{:x}-{}", self.plan.seed, arrival.number);
+        let id = |attempt| request_id(self.plan.seed, arrival.number, attempt);
         let duplicated = kind.at_most_once && rng.random_bool(self.plan.duplicate_share);
-        let first = self.attempt(kind, &message, id.clone(), rng.random(), intended);
-        let mut ended = if duplicated {
-            let id = format!("{id}-d");
-            let second = self.attempt(kind, &message, id, rng.random(), intended);
-            let (first, second) = join(first, second).await;
-            if first == Ended::Done { first } else { second }
+        let mut answered = if duplicated {
+            let ids = [id(FIRST), id(DUPLICATE)];
+            self.twice(kind, &message, &ids, [rng.random(), rng.random()], intended).await
         } else {
-            first.await
+            self.once(kind, &message, &id(FIRST), rng.random(), intended).await
         };
-        let mut repeats = u64::from(duplicated);
         for n in 0..self.plan.repeats {
-            if !kind.at_most_once || !matches!(ended, Ended::Unknown(_) | Ended::NotRun(_)) {
+            let open = matches!(answered.ended, Ended::Unknown(_) | Ended::NotRun(_));
+            if !kind.at_most_once || !open {
                 break;
             }
-            repeats += 1;
-            let id = format!("{id}-{n}");
-            ended = self.attempt(kind, &message, id, rng.random(), Instant::now()).await;
+            let id = id(DUPLICATE + 1 + n as u16);
+            let again = self.once(kind, &message, &id, rng.random(), Instant::now()).await;
+            answered.repeats += 1;
+            answered.ended = again.ended;
+            answered.not_run.extend(again.not_run);
         }
-        (ended, repeats)
+        answered
+    }
+
+    async fn once(
+        &self,
+        kind: &LoadKind,
+        message: &Message,
+        id: &str,
+        random: u64,
+        start: Instant,
+    ) -> Answered {
+        let ended = self.attempt(kind, message, id.to_owned(), random, start).await;
+        let not_run = matches!(ended, Ended::NotRun(_)).then(|| id.to_owned());
+        Answered { ended, repeats: 0, not_run: not_run.into_iter().collect() }
+    }
+
+    /// Sends a request twice at the same time, as a client does that lost patience.
+    async fn twice(
+        &self,
+        kind: &LoadKind,
+        message: &Message,
+        ids: &[String; 2],
+        random: [u64; 2],
+        start: Instant,
+    ) -> Answered {
+        let first = self.once(kind, message, &ids[0], random[0], start);
+        let second = self.once(kind, message, &ids[1], random[1], start);
+        let (first, second) = join(first, second).await;
+        let not_run = [first.not_run, second.not_run].concat();
+        // A wrong answer counts, whatever the other attempt brought.
+        let second_counts = matches!(second.ended, Ended::Wrong(_))
+            || !matches!(first.ended, Ended::Done | Ended::Wrong(_));
+        let ended = if second_counts { second.ended } else { first.ended };
+        Answered { ended, repeats: 1, not_run }
     }
 
     fn message(&self, kind: &LoadKind, arrival: &Arrival, rng: &mut StdRng) -> Message {
@@ -200,13 +244,18 @@
     // The stored answer of the first attempt has the first id, of which this id is a repeat.
     let first = reply.body.split(|byte| *byte == b' ').next().unwrap_or_default();
     let Ok(first) = std::str::from_utf8(first) else { return false };
-    keyed && base(first) == base(id) && is_own(first, body, &reply.body)
+    keyed && base(first).is_some() && base(first) == base(id) && is_own(first, body, &reply.body)
+}
+
+/// Returns the id of an attempt, a UUID, since nodes take no other ids.
+fn request_id(seed: u64, number: u64, attempt: u16) -> String {
+    Uuid::from_u64_pair(seed, number << ATTEMPT_BITS | u64::from(attempt)).to_string()
 }
 
 /// Returns the part of an id that a request has in common with its repeats.
-fn base(id: &str) -> &str {
-    let mut ends = id.match_indices('-').map(|(at, _)| at);
-    ends.nth(1).map_or(id, |at| &id[..at])
+fn base(id: &str) -> Option<(u64, u64)> {
+    let (seed, rest) = Uuid::try_parse(id).ok()?.as_u64_pair();
+    Some((seed, rest >> ATTEMPT_BITS))
 }
 
 fn uuid_v7(rng: &mut StdRng) -> Uuid {
--- a/crates/bench/src/stats.rs
+++ b/crates/load/src/stats.rs
@@ -80,6 +80,8 @@
     pub good_by_second: BTreeMap<u64, u64>,
     /// Weighted requests offered by second.
     pub offered_by_second: BTreeMap<u64, u64>,
+    /// Ids of attempts that were answered as not run, to compare with what the upstreams ran.
+    pub not_run: Vec<String>,
 }
 
 /// One ended request.
@@ -96,6 +98,8 @@
     pub repeats: u64,
     /// How it ended.
     pub ended: Ended,
+    /// Ids of its attempts that were answered as not run.
+    pub not_run: Vec<String>,
 }
 
 impl Stats {
@@ -106,6 +110,7 @@
             lateness: histogram(),
             good_by_second: BTreeMap::new(),
             offered_by_second: BTreeMap::new(),
+            not_run: Vec::new(),
         }
     }
 
@@ -125,6 +130,7 @@
         } else {
             record(&mut kind.latency_all, sample.latency.max(sample.kind.deadline));
         }
+        self.not_run.extend(sample.not_run);
         record(&mut self.lateness, sample.lateness);
         let (second, weight) = (sample.at.as_secs(), u64::from(sample.kind.weight));
         *self.offered_by_second.entry(second).or_default() += weight;
@@ -155,6 +161,7 @@
             }
         }
         self.lateness.add(other.lateness).expect("histograms have equal bounds");
+        self.not_run.extend(other.not_run);
         add_counts(&mut self.good_by_second, other.good_by_second);
         add_counts(&mut self.offered_by_second, other.offered_by_second);
     }
--- a/crates/standin/src/upstream/request.rs
+++ b/crates/standin/src/upstream/request.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::behaviour::{Behaviour, Command, Nested, ReportFault};
 use super::state::{LoadSample, State};
@@ -203,7 +205,7 @@
         if arrival.depth >= nested.max_depth || !self.state.chance(nested.share) {
             return true;
         }
-        let id = format!("{}.{}", arrival.id, arrival.depth + 1);
+        let id = nested_id(arrival, nested);
         let depth = (arrival.depth + 1).to_string();
         let left = arrival.deadline.map(|at| at.saturating_duration_since(Instant::now()));
         let left = left.map(|left| left.as_millis().to_string());
@@ -324,3 +326,10 @@
         }
     }
 }
+
+/// Derives the id of a nested call: a UUID, since nodes take no other ids.
+fn nested_id(arrival: &Arrival, nested: &Nested) -> String {
+    let Nested { service, kind, .. } = nested;
+    let call = format!("{} {} {service}/{kind}", arrival.id, arrival.depth + 1);
+    Uuid::from_u128(xxh3_128(call.as_bytes())).to_string()
+}
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -4,31 +4,53 @@
 
 use argh::FromArgs;
 
-use super::failure;
-
-/// Run both example deployments on loopback with stand-ins (not built yet).
+/// Run both example deployments in this process on loopback, with stand-ins for their upstreams
+/// and store, and check the invariants while a zone goes out of service and returns.
 #[derive(Debug)]
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
+#[cfg_attr(not(feature = "demo"), allow(dead_code, reason = "there is nothing to run"))]
 pub struct Demo {
-    /// how long to run
+    /// seconds of load, 8 to 600
     #[argh(option, default = "20")]
-    #[allow(dead_code, reason = "read once the demo is built")]
     seconds: u32,
 
-    /// seed of all random choices
+    /// seed of the load and of the upstreams' service times
     #[argh(option, default = "1")]
-    #[allow(dead_code, reason = "read once the demo is built")]
     seed: u64,
 
-    /// print the result as JSON
+    /// print the report as JSON
     #[argh(switch)]
-    #[allow(dead_code, reason = "read once the demo is built")]
     json: bool,
 }
 
+#[cfg(feature = "demo")]
+impl Demo {
+    pub(super) fn run(self) -> ExitCode {
+        use crate::demo::{self, Options, SECONDS_MAX, SECONDS_MIN};
+
+        let seconds = u64::from(self.seconds);
+        if !(SECONDS_MIN..=SECONDS_MAX).contains(&seconds) {
+            let range = format!("{SECONDS_MIN} to {SECONDS_MAX}");
+            return super::bad_usage(&format!("--seconds {seconds}: expected {range}"));
+        }
+        super::node::start_executor(demo::threads());
+        match demo::run(&Options { seconds, seed: self.seed }) {
+            Ok(report) => {
+                match self.json {
+                    true => println!("{}", report.to_json()),
+                    false => print!("{}", report.to_text()),
+                }
+                if report.held { ExitCode::SUCCESS } else { ExitCode::from(super::FAILURE) }
+            }
+            Err(error) => super::failure(&format!("the demo failed: {error}")),
+        }
+    }
+}
+
+#[cfg(not(feature = "demo"))]
 impl Demo {
     pub(super) fn run(self) -> ExitCode {
-        failure("demo is not built yet")
+        super::failure("this binary was built without the cargo feature `demo`")
     }
 }
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,31 +1,20 @@
 //! `node`: the daemon beside one upstream.
 
-use std::{env, io, path::PathBuf, process::ExitCode, time::UNIX_EPOCH};
+use std::{env, io, path::PathBuf, process::ExitCode};
 
 use argh::FromArgs;
 use async_global_executor::GlobalExecutorConfig;
 use async_std::{
     channel::{Receiver, Sender, bounded},
-    net::UdpSocket,
     task,
 };
 use futures_util::StreamExt;
-use oleandertiller_model::{Clock, SystemClock};
-use oleandertiller_routing::ledger::LedgerConfig;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
 use super::{check::describe, failure};
 use crate::{
-    node::{
-        self,
-        config::{HEAD_MAX_BYTES, NodeConfig, RetryConfig},
-        control::{Control, ControlConfig},
-        keeper::KeeperService,
-        operator::OperatorApp,
-        store::HttpStore,
-        view::ViewCell,
-    },
+    node::daemon::Daemon,
     settings::Settings,
     telemetry::{self, StateChange},
 };
@@ -67,9 +56,9 @@
 ///
 /// `async-std` reads the number from the environment, which cannot be changed without `unsafe`.
 /// Its executor takes the first configuration that it gets, so this must come before any task.
-fn start_executor(threads: u32) {
+pub(super) fn start_executor(threads: u32) {
     if env::var_os(THREADS_VAR).is_some() {
-        log::warn!("{THREADS_VAR} is set and overrides [node] threads = {threads}");
+        log::warn!("{THREADS_VAR} is set and overrides the number of threads, {threads}");
     }
     let threads = threads as usize;
     let cfg = GlobalExecutorConfig::default()
@@ -115,72 +104,10 @@
 /// Runs the services of the node until `stop` yields, then shuts down gracefully.
 async fn run(settings: Settings, stop: Receiver<()>) -> io::Result<()> {
     let what = format!("node {}", settings.node.name);
-    let clock = SystemClock;
-    let cfg = node_config(&settings, clock);
-    let gossip = UdpSocket::bind(cfg.gossip).await?;
-    let view = ViewCell::default();
-    let store = &settings.store;
-    let store = HttpStore::new(store.address, store.connect_timeout, store.call_timeout);
-    let control = Control::new(&cfg, control_config(settings), clock, view.clone(), store);
-    let add_routes = |app: &mut OperatorApp<SystemClock>| control.add_routes(app);
-    let node = node::Node::start_with(cfg, clock, view, control.clone(), add_routes).await?;
-    control.start(&node, gossip)?;
+    let daemon = Daemon::start(settings).await?;
     StateChange::new(&what, "starting", "running").with_why("all ports are open").log();
     // An error means that nobody can ask for a stop any more, which is a reason to stop.
     let _ = stop.recv().await;
-    // Peers learn of the stop before the node refuses work, so that no request meets a refusal
-    // and is charged to the retry budget.
-    control.announce_stop().await;
-    node.drain();
-    control.free_entry().await;
-    if let Ok(keeper) = node.kernel().find::<KeeperService<SystemClock>>("keeper") {
-        keeper.leave(&*control).await;
-    }
-    node.finish_work().await;
-    control.leave().await;
-    node.close().await;
-    control.stop().await;
+    daemon.stop().await;
     Ok(())
 }
-
-fn node_config(settings: &Settings, clock: SystemClock) -> NodeConfig {
-    let (node, listen, limits) = (&settings.node, &settings.listen, &settings.limits);
-    let retry = RetryConfig {
-        share_ppm: settings.retries.share.0,
-        per_second: settings.retries.per_second.into(),
-        ..RetryConfig::default()
-    };
-    let ledger = LedgerConfig {
-        window: settings.ledger.window,
-        clock_skew: settings.ledger.clock_skew,
-        capacity: settings.ledger.entries as usize,
-    };
-    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    NodeConfig::new(node.name.clone(), node.service.clone())
-        .with_incarnation(started.as_millis() as u64)
-        .with_zone(node.zone.clone())
-        .with_region(node.region.clone())
-        .with_client(listen.client)
-        .with_inner(listen.inner)
-        .with_gossip(listen.gossip)
-        .with_operator(listen.operator)
-        .with_seeds(settings.peers.seeds.clone())
-        .with_head_max_bytes(HEAD_MAX_BYTES.min(limits.head_max_bytes as usize))
-        .with_body_max_bytes(limits.body_max_bytes as usize)
-        .with_head_timeout(limits.head_timeout)
-        .with_body_timeout(limits.body_timeout)
-        .with_idle_timeout(limits.idle_timeout)
-        .with_threads(node.threads as usize)
-        .with_limit(limits.config())
-        .with_selection(settings.selection.config())
-        .with_retry(retry)
-        .with_ledger(ledger)
-}
-
-fn control_config(settings: Settings) -> ControlConfig {
-    ControlConfig {
-        seeds: settings.peers.seeds,
-        operators: settings.operators,
-        services: settings.services,
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! Library under the `oleandertiller` binary: settings, node services and reports.
 
 pub mod cmd;
+#[cfg(feature = "demo")]
+pub mod demo;
 pub mod kernel;
 pub mod node;
 pub mod report;
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod conn;
 pub mod control;
+pub mod daemon;
 pub mod ingress;
 pub mod inner;
 pub mod keeper;
--- a/tests/cli/commands.rs
+++ b/tests/cli/commands.rs
@@ -52,7 +52,7 @@
     for args in bad_usage {
         assert_eq!(status(args), Some(2), "{args:?}");
     }
-    assert_eq!(status(&["demo"]), Some(1));
+    assert_eq!(status(&["node", "--settings", "/no/such/file"]), Some(1));
     assert_eq!(status(&["check", "/no/such/file"]), Some(1));
 }
 
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the command line, the settings, the log lines and the guide.
 
 mod commands;
+#[cfg(feature = "demo")]
+mod demo;
 mod guide;
 mod settings;
 mod telemetry;
