--- a/crates/bench/src/capacity/calls.rs
+++ b/crates/bench/src/capacity/calls.rs
@@ -111,7 +111,7 @@
     let text = Uuid::from_u128(7).to_string();
     let call = CallHead {
         protocol: PROTOCOL_VERSION,
-        request: Uuid::from_u128(1),
+        request: Uuid::from_u128(1).into(),
         role: Role::Owner,
         service: service_name(7),
         kind: "kind-01".into(),
@@ -128,7 +128,7 @@
     let keyed = CallHead { key, key_text: Some(text), ..call.clone() };
     let reply = ReplyHead {
         protocol: PROTOCOL_VERSION,
-        request: Uuid::from_u128(1),
+        request: Uuid::from_u128(1).into(),
         outcome: Outcome::Done,
         status: 200,
         content_type: Some("application/json".into()),
