Give nested calls of the stand-in upstream a UUID

Cause: a nested call carried the id of its request with a suffix, and nodes refuse ids that are no UUID as bad-request, so every nested call through a real node failed. Ruled out: the node; ids are UUIDs by its interface.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -1,6 +1,7 @@
 //! Bodies that a client can check to be whole and its own.
 
-use xxhash_rust::xxh3::xxh3_64;
+use uuid::Uuid;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 /// Returns the body that an upstream sends for a request, `len` bytes or as many as the fixed part
 /// needs.
@@ -22,3 +23,9 @@
 pub fn is_own(request_id: &str, request_body: &[u8], answer: &[u8]) -> bool {
     answer == body_for(request_id, request_body, answer.len())
 }
+
+/// Returns the id of the call that an upstream makes at `depth` while it serves a request. Nodes
+/// accept only UUIDs.
+pub fn nested_id(request_id: &str, depth: u32) -> String {
+    Uuid::from_u128(xxh3_128(format!("{request_id}.{depth}").as_bytes())).to_string()
+}
--- a/crates/standin/src/upstream/request.rs
+++ b/crates/standin/src/upstream/request.rs
@@ -8,7 +8,7 @@
 
 use super::behaviour::{Behaviour, Command, Nested, ReportFault};
 use super::state::{LoadSample, State};
-use crate::answer::body_for;
+use crate::answer::{body_for, nested_id};
 use crate::http::{Call, Handler, Method, Pool, Response, StatusCode, json, text};
 
 /// Time after which an upstream that drains or whose zone is out must get no new work.
@@ -203,7 +203,7 @@
         if arrival.depth >= nested.max_depth || !self.state.chance(nested.share) {
             return true;
         }
-        let id = format!("{}.{}", arrival.id, arrival.depth + 1);
+        let id = nested_id(&arrival.id, arrival.depth + 1);
         let depth = (arrival.depth + 1).to_string();
         let left = arrival.deadline.map(|at| at.saturating_duration_since(Instant::now()));
         let left = left.map(|left| left.as_millis().to_string());
