Let a node reach peers through other addresses

Scenario tests put fault-injecting proxies between single pairs of nodes. A proxy in front of a node cannot tell its callers apart, so the caller is told the way: [peers] routes maps a peer's inner or gossip address to the one to use. The proof that a keeper is gone takes the same way; a frozen proxy accepts connections and so never proves anything. Test: routes_lead_from_a_peer_to_its_relay.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -19,7 +19,7 @@
 use crate::{
     node::{
         self,
-        config::{HEAD_MAX_BYTES, NodeConfig, RetryConfig},
+        config::{HEAD_MAX_BYTES, NodeConfig, RetryConfig, Routes},
         control::{Control, ControlConfig},
         keeper::KeeperService,
         operator::OperatorApp,
@@ -165,6 +165,7 @@
         .with_gossip(listen.gossip)
         .with_operator(listen.operator)
         .with_seeds(settings.peers.seeds.clone())
+        .with_routes(Routes::new(settings.peers.routes.iter().copied()))
         .with_head_max_bytes(HEAD_MAX_BYTES.min(limits.head_max_bytes as usize))
         .with_body_max_bytes(limits.body_max_bytes as usize)
         .with_head_timeout(limits.head_timeout)
--- a/src/node.rs
+++ b/src/node.rs
@@ -208,7 +208,7 @@
             cfg.connect_timeout,
             cfg.body_max_bytes,
         );
-        let client = Arc::new(client);
+        let client = Arc::new(client.with_routes(cfg.routes.clone()));
         let me = Keeper { node: cfg.name.clone(), incarnation: cfg.incarnation };
         let keys = Arc::new(Keys::new(cfg.ledger.clone(), me, clock.clone()));
         let ingress = Arc::new(Ingress::new(
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,6 +1,6 @@
 //! Settings of a node, as plain values.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use oleandertiller_model::{NodeName, RegionName, ServiceName, ZoneName};
 use oleandertiller_routing::{
@@ -27,6 +27,22 @@
     }
 }
 
+/// Addresses of peers that are reached through another address; clones share the table.
+#[derive(Clone, Debug, Default)]
+pub struct Routes(Arc<HashMap<SocketAddr, SocketAddr>>);
+
+impl Routes {
+    /// Creates a table from pairs of a peer's address and the address that leads to it.
+    pub fn new(routes: impl IntoIterator<Item = (SocketAddr, SocketAddr)>) -> Self {
+        Self(Arc::new(routes.into_iter().collect()))
+    }
+
+    /// Returns the address to send to for a peer's address.
+    pub fn resolve(&self, address: SocketAddr) -> SocketAddr {
+        self.0.get(&address).copied().unwrap_or(address)
+    }
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -50,6 +66,8 @@
     pub operator: SocketAddr,
     /// Gossip addresses of nodes to join when the store is down.
     pub seeds: Vec<SocketAddr>,
+    /// Addresses of peers that are reached through another address.
+    pub routes: Routes,
     /// Largest request head, in bytes; at most [`HEAD_MAX_BYTES`].
     pub head_max_bytes: usize,
     /// Largest body of a request or an answer, in bytes.
@@ -111,6 +129,8 @@
     with_operator => operator: SocketAddr;
     /// Sets the gossip addresses of nodes to join.
     with_seeds => seeds: Vec<SocketAddr>;
+    /// Sets the addresses of peers that are reached through another address.
+    with_routes => routes: Routes;
     /// Sets the largest head.
     with_head_max_bytes => head_max_bytes: usize;
     /// Sets the largest body.
@@ -158,6 +178,7 @@
             gossip: any,
             operator: any,
             seeds: Vec::new(),
+            routes: Routes::default(),
             head_max_bytes: HEAD_MAX_BYTES,
             body_max_bytes: 1 << 20,
             head_timeout: Duration::from_secs(5),
--- a/src/node/control/gossip.rs
+++ b/src/node/control/gossip.rs
@@ -42,8 +42,9 @@
 pub(super) async fn send<C: Clock, S: Store>(control: Arc<Control<C, S>>, socket: Arc<UdpSocket>) {
     while let Ok(output) = control.outputs.1.recv().await {
         match output {
-            Output::Send { to, bytes } => {
+            Output::Send { mut to, bytes } => {
                 if let Some(links) = control.links.get() {
+                    to = links.node.routes.resolve(to);
                     links.metrics.control.gossip_sent.inc();
                     links.metrics.control.gossip_sent_bytes.inc_by(bytes.len() as u64);
                 }
--- a/src/node/inner/client.rs
+++ b/src/node/inner/client.rs
@@ -24,7 +24,7 @@
     CONNECTION_WINDOW, CONTROL_MAX_BYTES, MAX_FRAME, MAX_HEADER_LIST, MAX_RESET_STREAMS,
     MAX_STREAMS, STREAM_WINDOW, decode_frame, encode_frame, h2_io, prepare, read_message,
 };
-use crate::node::timer::Timers;
+use crate::node::{config::Routes, timer::Timers};
 
 /// What a caller waits past the deadline, so that the owner's own account of a request that ran
 /// out of time arrives instead of a guess.
@@ -70,13 +70,21 @@
     connect_timeout: Duration,
     body_max: usize,
     call_uri: Uri,
+    routes: Routes,
 }
 
 impl<C: Clock> InnerClient<C> {
     /// Creates a client without connections; answers carry at most `body_max` bytes of body.
     pub fn new(clock: C, timers: Timers, connect_timeout: Duration, body_max: usize) -> Self {
         let peers = RwLock::default();
-        Self { clock, timers, peers, connect_timeout, body_max, call_uri: uri(CALL_PATH) }
+        let (call_uri, routes) = (uri(CALL_PATH), Routes::default());
+        Self { clock, timers, peers, connect_timeout, body_max, call_uri, routes }
+    }
+
+    /// Sets the addresses of peers that are reached through another address.
+    pub fn with_routes(mut self, routes: Routes) -> Self {
+        self.routes = routes;
+        self
     }
 
     /// Sends a call and waits for its answer.
@@ -167,7 +175,10 @@
         if let Some(link) = ready(peer).await {
             return Some(link);
         }
-        let sender = timeout(self.connect_timeout, open(address)).await.ok().flatten()?;
+        let sender = timeout(self.connect_timeout, open(self.routes.resolve(address)))
+            .await
+            .ok()
+            .flatten()?;
         *opened += 1;
         *peer.lock() = Some(Link { number: *opened, sender });
         ready(peer).await
--- a/src/node/keeper.rs
+++ b/src/node/keeper.rs
@@ -205,7 +205,7 @@
         if proof.tried.is_some_and(|tried| now < tried + PROOF_INTERVAL) {
             return false;
         }
-        let refused = is_refused(info.inner).await;
+        let refused = is_refused(self.cfg.routes.resolve(info.inner)).await;
         proof.tried = Some(now);
         proof.refusals = if refused { proof.refusals + 1 } else { 0 };
         proof.refusals >= PROOF_REFUSALS
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -110,6 +110,8 @@
     "peers" => PeerSettings {
         "seeds", seeds: Vec<SocketAddr>, Some(""), Allowed::Addresses,
             "Gossip addresses to join through while the store is down.";
+        "routes", routes: Vec<(SocketAddr, SocketAddr)>, Some(""), Allowed::Routes,
+            "Addresses of peers that this node reaches through another address, such as a relay.";
     }
     /// Limits on requests and on the upstream.
     "limits" => LimitSettings {
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -18,6 +18,8 @@
     ReachableAddress,
     /// IP addresses with ports, separated by commas.
     Addresses,
+    /// Pairs of IP addresses with ports, separated by commas.
+    Routes,
     /// A whole number within a range; `unit` is empty for plain counts.
     Number {
         /// Least.
@@ -49,6 +51,7 @@
                 "an IP address with a port, such as 127.0.0.1:7400, and no wildcard".to_owned()
             }
             Self::Addresses => "IP addresses with ports, separated by commas".to_owned(),
+            Self::Routes => "`ADDRESS via ADDRESS`, separated by commas".to_owned(),
             Self::Number { min, max, unit: "" } => format!("a whole number from {min} to {max}"),
             Self::Number { min, max, unit } => {
                 format!("a whole number from {min} to {max}, in {unit}")
@@ -102,6 +105,17 @@
     }
 }
 
+impl Setting for Vec<(SocketAddr, SocketAddr)> {
+    fn parse(text: &str, _: &Allowed) -> Option<Self> {
+        let address = |text: &str| SocketAddr::parse(text.trim(), &Allowed::ReachableAddress);
+        let route = |text: &str| {
+            let (peer, via) = text.split_once(" via ")?;
+            Some((address(peer)?, address(via)?))
+        };
+        text.split(',').map(str::trim).filter(|text| !text.is_empty()).map(route).collect()
+    }
+}
+
 impl Setting for u32 {
     fn parse(text: &str, allowed: &Allowed) -> Option<Self> {
         allowed.number(text)?.try_into().ok()
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -40,9 +40,21 @@
     assert_eq!(settings.node.threads, 2);
     assert_eq!(settings.selection.policy, Policy::ExpectedWait);
     assert!(settings.peers.seeds.is_empty());
+    assert!(settings.peers.routes.is_empty());
     assert_eq!(settings.limits.config().max_queued, 256);
 }
 
+/// Guards against a route that is read the wrong way round, or half of one that is accepted.
+#[test]
+fn routes_lead_from_a_peer_to_its_relay() {
+    let with = |routes: &str| format!("{MINIMAL}\n[peers]\nroutes = {routes}\n");
+    let settings = Settings::read(&with("127.0.0.1:1 via 127.0.0.1:2")).unwrap();
+    let address = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    assert_eq!(settings.peers.routes, [(address(1), address(2))]);
+    assert!(Settings::read(&with("127.0.0.1:1 via")).is_err());
+    assert!(Settings::read(&with("127.0.0.1:1, 127.0.0.1:2")).is_err());
+}
+
 /// Guards against a key that is declared twice, of which one would be ignored.
 #[test]
 fn keys_are_unique() {
