--- a/crates/standin/src/upstream/request.rs
+++ b/crates/standin/src/upstream/request.rs
@@ -5,12 +5,10 @@
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
-use uuid::Uuid;
-use xxhash_rust::xxh3::xxh3_128;
 
 use super::behaviour::{Behaviour, Command, Nested, ReportFault};
 use super::state::{LoadSample, State};
-use crate::answer::body_for;
+use crate::answer::{body_for, nested_id};
 use crate::http::{Call, Handler, Method, Pool, Response, StatusCode, json, text};
 
 /// Time after which an upstream that drains or whose zone is out must get no new work.
@@ -205,7 +203,7 @@
         if arrival.depth >= nested.max_depth || !self.state.chance(nested.share) {
             return true;
         }
-        let id = nested_id(arrival, nested);
+        let id = nested_id(&arrival.id, arrival.depth + 1);
         let depth = (arrival.depth + 1).to_string();
         let left = arrival.deadline.map(|at| at.saturating_duration_since(Instant::now()));
         let left = left.map(|left| left.as_millis().to_string());
@@ -326,10 +324,3 @@
         }
     }
 }
-
-/// Derives the id of a nested call: a UUID, since nodes take no other ids.
-fn nested_id(arrival: &Arrival, nested: &Nested) -> String {
-    let Nested { service, kind, .. } = nested;
-    let call = format!("{} {} {service}/{kind}", arrival.id, arrival.depth + 1);
-    Uuid::from_u128(xxh3_128(call.as_bytes())).to_string()
-}
