Compress the base document so that the target size fits into a value

Cause: the base document of 1,900 services was 1.12 MB of JSON without any keeper and 2.09 MB with 17,000, over the store's 1 MB, so that no node could write it. Ruled out: the nodes' binary encoding (0.78 MB in base64, and later versions of the node could not read it); one key per group of services (more keys, and a head that names them all). Conclusion: the value limit holds at the target.

--- a/crates/bench/src/capacity/document.rs
+++ b/crates/bench/src/capacity/document.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oleandertiller_fleet::intent::{Head, Replica, TAIL};
+use oleandertiller_fleet::intent::{Head, Replica, TAIL, parse_base, write_base};
 use oleandertiller_model::codec;
 use oleandertiller_model::intent::{Intent, Revision};
 use serde::Serialize;
@@ -26,14 +26,16 @@
     pub kinds: usize,
     /// Keepers of the fleet.
     pub keepers: usize,
-    /// Size of the base document as JSON.
+    /// Size of the document as JSON.
     pub json_bytes: usize,
+    /// Size of the base document's value in the store.
+    pub base_bytes: usize,
     /// Size as transferred between nodes.
     pub encoded_bytes: usize,
-    /// Time to write the base as JSON.
-    pub json_write: Duration,
-    /// Time to read the base from JSON.
-    pub json_read: Duration,
+    /// Time to write the base.
+    pub base_write: Duration,
+    /// Time to read the base.
+    pub base_read: Duration,
     /// Time to encode the document for a peer.
     pub encode: Duration,
     /// Time to decode it.
@@ -66,15 +68,17 @@
 pub fn measure(size: DocumentSize) -> DocumentRow {
     let doc = document(size);
     let json = serde_json::to_string(&doc).expect("a document can be written as JSON");
+    let base = write_base(&doc);
     let encoded = codec::encode(&doc);
     DocumentRow {
         services: size.services,
         kinds: size.kinds,
         keepers: size.keepers,
         json_bytes: json.len(),
+        base_bytes: base.len(),
         encoded_bytes: encoded.len(),
-        json_write: shortest(ROUNDS, || serde_json::to_string(&doc)),
-        json_read: shortest(ROUNDS, || serde_json::from_str::<Intent>(&json)),
+        base_write: shortest(ROUNDS, || write_base(&doc)),
+        base_read: shortest(ROUNDS, || parse_base(&base, doc.revision)),
         encode: shortest(ROUNDS, || codec::encode(&doc)),
         decode: shortest(ROUNDS, || codec::decode::<Intent>(&encoded)),
         apply_shared: apply(&doc, true),
@@ -95,12 +99,12 @@
     best
 }
 
-/// Returns the smallest number of keepers whose document is over the store's limit as JSON, if it
+/// Returns the smallest number of keepers whose document is over the store's limit, if it
 /// is at most `most`.
 pub fn keepers_over_limit(size: DocumentSize, most: usize) -> Option<usize> {
     let bytes = |keepers| {
         let doc = document(DocumentSize { keepers, ..size });
-        serde_json::to_string(&doc).map_or(usize::MAX, |json| json.len())
+        write_base(&doc).len()
     };
     let (mut fits, mut over) = (0, most);
     if bytes(fits) > VALUE_MAX_BYTES {
--- a/crates/bench/src/cmd/capacity.rs
+++ b/crates/bench/src/cmd/capacity.rs
@@ -176,8 +176,8 @@
 }
 
 fn documents() -> Table {
-    let head = "services | kinds | keepers | base as JSON | for peers | write JSON | read JSON | \
-                encode | decode | change, shared | change, alone";
+    let head = "services | kinds | keepers | as JSON | base in store | for peers | write base | \
+                read base | encode | decode | change, shared | change, alone";
     let mut table = Table::new("document", head, 0);
     let sizes = [(100, 3), (500, 3), (1_900, 1), (1_900, 3), (1_900, 5), (1_900, 10)];
     let keepers = [0, 1_900, 5_700, 17_000];
@@ -191,9 +191,10 @@
             row.kinds.to_string(),
             row.keepers.to_string(),
             row.json_bytes.to_string(),
+            row.base_bytes.to_string(),
             row.encoded_bytes.to_string(),
-            millis(row.json_write),
-            millis(row.json_read),
+            millis(row.base_write),
+            millis(row.base_read),
             millis(row.encode),
             millis(row.decode),
             millis(row.apply_shared),
--- a/crates/bench/tests/capacity.rs
+++ b/crates/bench/tests/capacity.rs
@@ -9,12 +9,20 @@
 #[test]
 fn the_limit_of_keepers_is_the_first_size_over_the_value_limit() {
     let size = DocumentSize { services: 1_900, kinds: 1, keepers: 0, rollouts: 0 };
-    let over = keepers_over_limit(size, 17_000).expect("17,000 keepers are over the limit");
-    let bytes = |keepers| measure(DocumentSize { keepers, ..size }).json_bytes;
+    let over = keepers_over_limit(size, 200_000).expect("200,000 keepers are over the limit");
+    let bytes = |keepers| measure(DocumentSize { keepers, ..size }).base_bytes;
     assert!(bytes(over) > VALUE_MAX_BYTES);
     assert!(bytes(over - 1) <= VALUE_MAX_BYTES);
 }
 
+/// Guards against a target document that no node could write to the store.
+#[test]
+fn the_target_document_is_below_the_value_limit() {
+    let size = DocumentSize { services: 1_900, kinds: 3, keepers: 17_000, rollouts: 190 };
+    let bytes = measure(size).base_bytes;
+    assert!(bytes <= VALUE_MAX_BYTES, "{bytes}");
+}
+
 /// Guards against a handover that does not hold the share of the keeper that joins.
 #[test]
 fn a_joining_keeper_gets_its_share() {
--- a/crates/fleet/src/intent.rs
+++ b/crates/fleet/src/intent.rs
@@ -12,12 +12,14 @@
 //! late: the head goes on referring to the older base, from which its tail still leads to the
 //! present revision, until some writer completes both steps.
 
+mod base;
 mod command;
 mod head;
 mod replica;
 mod watcher;
 
+pub use base::{base_key, parse_base, write_base};
 pub use command::{Command, CommandOutcome, NotAccepted};
-pub use head::{HEAD_KEY, Head, HeadError, TAIL, base_key, parse_base};
+pub use head::{HEAD_KEY, Head, HeadError, TAIL};
 pub use replica::{Absorbed, Replica};
 pub use watcher::{Watcher, WatcherEvent};
--- a/crates/fleet/src/intent/command.rs
+++ b/crates/fleet/src/intent/command.rs
@@ -11,7 +11,8 @@
 use uuid::Uuid;
 
 use super::{
-    head::{HEAD_KEY, Head, base_key, parse_base},
+    base::{base_key, parse_base, write_base},
+    head::{HEAD_KEY, Head},
     replica::{Absorbed, Replica},
 };
 use crate::store::{Backoff, Step, StoreAnswer, StoreCall};
@@ -222,7 +223,7 @@
             Stage::ReadBase { head, .. } => StoreCall::Get { key: base_key(head.base) },
             Stage::WriteBase { head, .. } => StoreCall::Put {
                 key: base_key(head.revision),
-                value: self.document(),
+                value: write_base(self.replica.intent()),
                 if_version: 0,
                 lease: None,
             },
@@ -236,11 +237,6 @@
         Step::Call(call)
     }
 
-    fn document(&self) -> String {
-        let intent: &Intent = self.replica.intent();
-        serde_json::to_string(intent).expect("an intent can be written as JSON")
-    }
-
     fn failed(
         &mut self,
         answer: &StoreAnswer,
--- a/crates/fleet/src/intent/head.rs
+++ b/crates/fleet/src/intent/head.rs
@@ -1,8 +1,6 @@
 //! The value of the store key `intent/head`.
 
-use std::sync::Arc;
-
-use oleandertiller_model::{Change, Intent, Revision};
+use oleandertiller_model::{Change, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Key of the head.
@@ -11,21 +9,6 @@
 /// Changes that the head keeps, and the distance between base documents.
 pub const TAIL: usize = 64;
 
-/// Returns the key of a base document.
-pub fn base_key(revision: Revision) -> String {
-    format!("intent/base/{}", revision.0)
-}
-
-/// Parses a base document and checks that it is the one asked for.
-///
-/// # Errors
-///
-/// Returns [`HeadError`] when `value` is not the document of `revision`.
-pub fn parse_base(value: &str, revision: Revision) -> Result<Arc<Intent>, HeadError> {
-    let doc: Intent = serde_json::from_str(value).map_err(|_| HeadError::Malformed)?;
-    if doc.revision == revision { Ok(Arc::new(doc)) } else { Err(HeadError::Inconsistent) }
-}
-
 /// Why a value of the store cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadError {
--- a/crates/fleet/src/intent/watcher.rs
+++ b/crates/fleet/src/intent/watcher.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 
 use super::{
-    head::{HEAD_KEY, Head, base_key, parse_base},
+    base::{base_key, parse_base},
+    head::{HEAD_KEY, Head},
     replica::{Absorbed, Replica},
 };
 use crate::store::{Backoff, CallBucket, Step, StoreAnswer, StoreCall};
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of membership and agreement on the real parts, without sockets.
 
 mod agreement;
+mod base;
 mod entries;
 mod exploration;
 mod membership;
