Bound the keepers of a service to about nine

Ruled out: a bound in the document's rules, which would refuse the return of a restarted keeper that races a newcomer.

--- a/src/node/keeper.rs
+++ b/src/node/keeper.rs
@@ -50,6 +50,10 @@
 /// finds the process gone and declares it lost.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Keepers of a service from which on no further node joins. Each change of the set makes pulls
+/// that grow with its square: 72 at 9 keepers, 9,900 at 100.
+const MAX_KEEPERS: usize = 9;
+
 /// Gives commands to the store on behalf of the node.
 pub trait Commands: Send + Sync + 'static {
     /// Submits an action and returns whether it was accepted.
@@ -115,7 +119,9 @@
         let set = self.apply(view);
         let me = self.me();
         if !set.holders().any(|keeper| *keeper == me) {
-            self.join(view, round, commands).await;
+            if set.members.len() < MAX_KEEPERS {
+                self.join(view, round, commands).await;
+            }
             return;
         }
         for holder in self.keys.missing() {
--- a/tests/testsuite/keyed.rs
+++ b/tests/testsuite/keyed.rs
@@ -59,7 +59,14 @@
 }
 
 impl Fleet {
+    /// Starts nodes and waits until all are keepers.
     async fn start(count: usize) -> Self {
+        let fleet = Self::launch(count).await;
+        fleet.settle(count).await;
+        fleet
+    }
+
+    async fn launch(count: usize) -> Self {
         let shared = SharedIntent {
             intent: Arc::new(Mutex::new(intent())),
             views: Arc::new(Mutex::new(Vec::new())),
@@ -75,7 +82,6 @@
             fleet.nodes.push(KeeperNode { member, keeper, stop, task });
         }
         fleet.show(None);
-        fleet.settle(count).await;
         fleet
     }
 
@@ -231,3 +237,30 @@
         }
     });
 }
+
+/// Guards against a keeper set that grows with the service, whose changes would cost pulls in the
+/// square of its size, and against a place in it that stays empty.
+#[test]
+fn a_large_service_has_a_bounded_number_of_keepers() {
+    block_on(async {
+        let members = |fleet: &Fleet| {
+            let intent = fleet.shared.intent.lock().unwrap();
+            intent.keepers.get("kettle").map_or(0, |set| set.members.len())
+        };
+        let mut fleet = Fleet::launch(11).await;
+        eventually("nine nodes join", || members(&fleet) >= 9).await;
+        task::sleep(Duration::from_millis(1_800)).await;
+        // Nodes that join at the same time may pass the bound by a few.
+        assert!((9..11).contains(&members(&fleet)), "{} keepers", members(&fleet));
+        while members(&fleet) >= 9 {
+            let leaving = fleet.nodes.remove(0);
+            leaving.keeper.leave(&fleet.shared).await;
+            leaving.stop.close();
+            leaving.task.await;
+            fleet.show(None);
+            leaving.member.node.close().await;
+        }
+        let left = fleet.nodes.len();
+        eventually("a waiting node joins", || members(&fleet) == left.min(9)).await;
+    });
+}
