Run bench path and bench compare against node processes

`ASYNC_STD_THREAD_COUNT` was set for nodes and hid their `threads` setting. Each figure now has the load average beside it, and nodes log warnings only.

The delay between zones is not part of `compare`: a proxy in front of a node's inner port needs an announced address that differs from the listening one, and delays all callers alike, whatever their zone.

--- a/crates/bench/src/cmd/compare.rs
+++ b/crates/bench/src/cmd/compare.rs
@@ -13,6 +13,7 @@
 use oleandertiller_bench::fleet::{Fleet, FleetPlan, record, set_behaviour};
 use oleandertiller_bench::load::{self, ClientPolicy, Plan, Route};
 use oleandertiller_bench::plot::{self, Labels, Line};
+use oleandertiller_bench::process::load_average;
 use oleandertiller_bench::stats::{Stats, Summary};
 use oleandertiller_bench::workload::Deployment;
 use oleandertiller_standin::Record;
@@ -77,6 +78,8 @@
 #[derive(Serialize)]
 struct Variant {
     policy: String,
+    /// Load average of the machine at the end.
+    load_average: Option<f64>,
     summary: Summary,
     checks: Checks,
     /// Weighted share of good answers by second.
@@ -112,6 +115,7 @@
         }
         let variant = Variant {
             goodput_by_second: by_second(&stats),
+            load_average: load_average(),
             summary: stats.summary(),
             checks,
             policy,
@@ -200,7 +204,9 @@
 
 impl Variant {
     fn print(&self) {
-        println!("{}: weighted goodput {:.4}", self.policy, self.summary.goodput);
+        let load = self.load_average.unwrap_or(f64::NAN);
+        let goodput = self.summary.goodput;
+        println!("{}: weighted goodput {goodput:.4}, load average {load:.1}", self.policy);
         println!(
             "  keys run twice {}, above the cold limit {}, late after zone out {}, late after \
              drain {}",
--- a/crates/bench/src/cmd/compare/fault.rs
+++ b/crates/bench/src/cmd/compare/fault.rs
@@ -103,14 +103,26 @@
         set_behaviour(self.victim, &fields).await
     }
 
-    /// Gives the command, then tells the upstreams, whose records count from then on.
+    /// Gives the command and tells the upstreams, whose records count while the zone is out. They
+    /// are told of the return first, so that no work after it counts as late.
     async fn set_zone(&self, state: &str) -> io::Result<()> {
         let Some(operator) = self.operator else {
             return Err(io::Error::other("no node outside the zone"));
         };
+        let out = state == "out";
+        if !out {
+            self.note_zone(false).await?;
+        }
         ask(operator, &format!("zone {} {state}", self.zone)).await?;
+        if out {
+            self.note_zone(true).await?;
+        }
+        Ok(())
+    }
+
+    async fn note_zone(&self, out: bool) -> io::Result<()> {
         for upstream in &self.zone_upstreams {
-            set_behaviour(*upstream, &json!({ "zone_out": state == "out" })).await?;
+            set_behaviour(*upstream, &json!({ "zone_out": out })).await?;
         }
         Ok(())
     }
--- a/crates/bench/src/cmd/path/result.rs
+++ b/crates/bench/src/cmd/path/result.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use oleandertiller_bench::process::load_average;
 use oleandertiller_bench::stats::{Quantiles, Summary};
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +25,9 @@
 #[derive(Serialize, Deserialize)]
 pub struct RateResult {
     rate: f64,
+    /// Load average of the machine at the end.
+    #[serde(default)]
+    load_average: Option<f64>,
     direct: Arm,
     /// The direct path once more.
     control: Arm,
@@ -105,12 +109,13 @@
     pub fn new(rate: f64, direct: Arm, control: Arm, through: Option<Arm>) -> Self {
         let noise = Added::between(&direct, &control);
         let added = through.as_ref().map(|through| Added::between(&direct, through));
-        Self { rate, direct, control, through, noise, added }
+        Self { rate, load_average: load_average(), direct, control, through, noise, added }
     }
 
     /// Prints the result.
     pub fn print(&self) {
-        println!("{} calls/s", self.rate);
+        let load = self.load_average.unwrap_or(f64::NAN);
+        println!("{} calls/s, load average {load:.1}", self.rate);
         self.direct.print("direct");
         if let Some(through) = &self.through {
             through.print("two nodes");
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -19,8 +19,8 @@
 
 /// Processes that one run may start.
 pub const PROCESSES_MAX: usize = 100;
-/// Time in which every node must answer its health endpoint.
-const READY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time in which every node must know the whole fleet.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time in which an administrative call must be answered.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -104,11 +104,11 @@
 }
 
 impl Fleet {
-    /// Starts a fleet and waits until its nodes are healthy.
+    /// Starts a fleet and waits until its nodes know each other.
     ///
     /// # Errors
     ///
-    /// Returns an error when a program is missing, does not start or is not healthy in time.
+    /// Returns an error when a program is missing, does not start or is not ready in time.
     pub fn start(plan: &FleetPlan) -> io::Result<Self> {
         if plan.members.len() * 2 + 1 > PROCESSES_MAX {
             return Err(io::Error::other(format!("over {PROCESSES_MAX} processes")));
@@ -130,26 +130,32 @@
             let settings = node_settings(plan, member, policy, addrs, store[0], &seeds);
             let file = fleet._dir.path().join(format!("{}.ini", member.name));
             fs::write(&file, settings_text(&settings))?;
-            let node = start_node(member, &file, addrs, plan.threads)?;
+            let node = start_node(member, &file, addrs)?;
             fleet.members.push(start_member(plan, member, n, Some(node))?);
             seeds.push(addrs[2]);
             seeds.truncate(3);
         }
-        fleet.wait_healthy()?;
+        let kinds = plan.deployment.kinds().len() + plan.deployment.internal_kinds().len();
+        fleet.wait_ready(kinds)?;
         Ok(fleet)
     }
 
-    fn wait_healthy(&mut self) -> io::Result<()> {
+    /// Waits until every node knows every upstream and every kind of request: a healthy node that
+    /// does not would refuse the first requests.
+    fn wait_ready(&mut self, kinds: usize) -> io::Result<()> {
         let until = Instant::now() + READY_TIMEOUT;
+        let upstreams = self.members.len();
         for member in &mut self.members {
             let Some(node) = &mut member.node else { continue };
-            while !is_healthy(node.operator) {
+            while !knows(node.operator, upstreams, kinds) {
                 if node.process.has_ended() {
                     return Err(io::Error::other(format!("{} ended", node.process.name)));
                 }
                 if Instant::now() > until {
                     let name = &node.process.name;
-                    return Err(io::Error::other(format!("{name} is not healthy in time")));
+                    return Err(io::Error::other(format!(
+                        "{name} does not know the whole fleet in time"
+                    )));
                 }
                 std::thread::sleep(Duration::from_millis(50));
             }
@@ -199,11 +205,10 @@
     member: &MemberPlan,
     file: &std::path::Path,
     addrs: [SocketAddr; 4],
-    threads: usize,
 ) -> io::Result<Node> {
     let program = beside("oleandertiller")?;
     let args = ["node".into(), "--settings".into(), file.display().to_string()];
-    let process = Process::start(&format!("node {}", member.name), &program, &args, threads)?;
+    let process = Process::start(&format!("node {}", member.name), &program, &args)?;
     Ok(Node { process, client: addrs[0], operator: addrs[3] })
 }
 
@@ -229,8 +234,15 @@
     Ok(Member { plan: member.clone(), upstream, addr: addrs[0], node })
 }
 
-fn is_healthy(operator: SocketAddr) -> bool {
-    task::block_on(call(operator, "GET", "/health", &[])).is_ok_and(|(status, _)| status == 200)
+fn knows(operator: SocketAddr, upstreams: usize, kinds: usize) -> bool {
+    let count = |line: &str| {
+        let (_, body) = task::block_on(call(operator, "POST", "/ask", line.as_bytes())).ok()?;
+        let answer: Value = serde_json::from_slice(&body).ok()?;
+        let fresh = answer["as-of"]["stale"].is_null();
+        fresh.then(|| answer["rows"].as_array().map(Vec::len)).flatten()
+    };
+    count("show upstreams where state = serving") == Some(upstreams)
+        && count("show services") == Some(kinds)
 }
 
 /// Returns what an upstream has run.
@@ -277,7 +289,7 @@
 ) -> io::Result<(u16, Vec<u8>)> {
     let exchange = async {
         let mut client = Client::connect(addr).await?;
-        let reply = client.call(method, path, &[], body).await?;
+        let reply = client.call(method, path, &[("accept", "application/json")], body).await?;
         Ok((reply.status(), reply.body))
     };
     match timeout(ADMIN_TIMEOUT, exchange).await {
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -11,6 +11,9 @@
 /// common platforms.
 const TICKS_PER_S: f64 = 100.0;
 
+/// Variable that sets the number of executor threads of a program without a setting for it.
+const THREADS_VAR: &str = "ASYNC_STD_THREAD_COUNT";
+
 /// A process that ends when it is dropped.
 pub struct Process {
     child: Child,
@@ -19,16 +22,16 @@
 }
 
 impl Process {
-    /// Starts a program with the given number of executor threads.
+    /// Starts a program whose settings give the number of its executor threads.
     ///
     /// # Errors
     ///
     /// Returns the error of the start, with the path of the program.
-    pub fn start(name: &str, program: &Path, args: &[String], threads: usize) -> io::Result<Self> {
-        Self::spawn(name, program, args, threads, Stdio::null())
+    pub fn start(name: &str, program: &Path, args: &[String]) -> io::Result<Self> {
+        Self::spawn(name, program, args, None, Stdio::null())
     }
 
-    /// Starts a stand-in and waits for its line `ready <addresses>`.
+    /// Starts a stand-in with the given number of executor threads and waits for its line `ready <addresses>`.
     ///
     /// # Errors
     ///
@@ -39,7 +42,7 @@
         args: &[String],
         threads: usize,
     ) -> io::Result<(Self, Vec<SocketAddr>)> {
-        let mut process = Self::spawn(name, program, args, threads, Stdio::piped())?;
+        let mut process = Self::spawn(name, program, args, Some(threads), Stdio::piped())?;
         let mut line = String::new();
         if let Some(out) = process.child.stdout.take() {
             BufReader::new(out).read_line(&mut line)?;
@@ -57,11 +60,14 @@
         name: &str,
         program: &Path,
         args: &[String],
-        threads: usize,
+        threads: Option<usize>,
         out: Stdio,
     ) -> io::Result<Self> {
         let mut command = Command::new(program);
-        command.args(args).env("ASYNC_STD_THREAD_COUNT", threads.to_string());
+        command.args(args).env_remove(THREADS_VAR);
+        if let Some(threads) = threads {
+            command.env(THREADS_VAR, threads.to_string());
+        }
         let child = command.stdin(Stdio::null()).stdout(out).spawn();
         let child = child
             .map_err(|e| io::Error::new(e.kind(), format!("cannot start {program:?}: {e}")))?;
@@ -95,6 +101,12 @@
     Some(Duration::from_secs_f64(ticks / TICKS_PER_S))
 }
 
+/// Returns the load average of the machine over the last minute; latencies measured while it is
+/// above the number of cores include waiting for one.
+pub fn load_average() -> Option<f64> {
+    fs::read_to_string("/proc/loadavg").ok()?.split(' ').next()?.parse().ok()
+}
+
 /// Returns the resident memory of a process in bytes.
 pub fn resident_bytes(pid: u32) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
--- a/crates/bench/src/settings.rs
+++ b/crates/bench/src/settings.rs
@@ -28,18 +28,17 @@
     pub deployment: Deployment,
 }
 
-/// Writes a settings file. The keys are the ones assumed here until the node's settings exist;
-/// this function is the only place that names them.
+/// Writes a settings file.
 pub fn settings_text(node: &NodeSettings) -> String {
     let [client, inner, gossip, operator] = node.addrs;
     let seeds: Vec<String> = node.seeds.iter().map(SocketAddr::to_string).collect();
     let mut text = format!(
-        "[node]\nname = {}\nregion = local\nzone = {}\nservice = {}\nthreads = {}\n\n\
+        "[node]\nname = {}\nzone = {}\nservice = {}\nthreads = {}\n\n\
          [listen]\nclient = {client}\ninner = {inner}\ngossip = {gossip}\n\
          operator = {operator}\n\n\
          [store]\naddress = {}\n\n\
-         [membership]\nseeds = {}\n\n\
-         [selection]\npolicy = {}\n",
+         [peers]\nseeds = {}\n\n\
+         [selection]\npolicy = {}\n\n[log]\nlevel = warn\n",
         node.name,
         node.zone,
         node.service,
@@ -48,20 +47,23 @@
         seeds.join(", "),
         node.policy,
     );
-    for kind in node.deployment.kinds() {
-        let safety = if kind.at_most_once { "at-most-once" } else { "idempotent" };
-        let deadline = kind.deadline.as_millis();
-        let _ = write!(
-            text,
-            "\n[kind {} {}]\nweight = {}\nsafety = {safety}\ndeadline-ms = {deadline}\n",
-            kind.service, kind.kind, kind.weight,
-        );
-    }
-    for (service, kind) in node.deployment.internal_kinds() {
-        let _ = write!(
-            text,
-            "\n[kind {service} {kind}]\nweight = 1\nsafety = idempotent\ninternal = true\n",
-        );
+    for size in node.deployment.services() {
+        write_service(&mut text, node.deployment, size.service);
     }
     text
 }
+
+/// Declares the kinds of one service.
+fn write_service(text: &mut String, deployment: Deployment, service: &str) {
+    // Writing to a string does not fail.
+    let _ = write!(text, "\n[service {service}]\n");
+    for kind in deployment.kinds().iter().filter(|kind| kind.service == service) {
+        let safety = if kind.at_most_once { "at most once" } else { "idempotent" };
+        let (name, weight, deadline) = (kind.kind, kind.weight, kind.deadline.as_millis());
+        let _ = writeln!(text, "kind {name} = weight {weight}, {safety}, deadline {deadline}ms");
+    }
+    let internal = deployment.internal_kinds().iter().filter(|(of, _)| *of == service);
+    for (_, name) in internal {
+        let _ = writeln!(text, "kind {name} = weight 1, idempotent, internal, deadline 500ms");
+    }
+}
--- a/crates/bench/tests/programs.rs
+++ b/crates/bench/tests/programs.rs
@@ -1,4 +1,4 @@
-//! The program `bench` with real processes, without nodes.
+//! The program `bench` with real processes.
 
 use std::fs;
 use std::path::Path;
@@ -54,3 +54,44 @@
         assert!(twice > 0, "nothing but the nodes prevents a second run of a duplicate");
     }
 }
+
+/// Guards against settings that nodes refuse, and against calls that do not pass through both
+/// nodes.
+#[test]
+fn path_measures_two_nodes() {
+    let dir = tempfile::tempdir().unwrap();
+    let args = ["path", "--rate", "200", "--seconds", "1", "--rounds", "1", "--warmup", "1"];
+    bench(&args, dir.path());
+    let result = result(dir.path());
+    let through = &result["rates"][0]["through"];
+    let temper = &through["summary"]["kinds"]["kettle/temper"];
+    assert_eq!(temper["counts"]["done"], temper["offered"], "{temper}");
+    for node in ["node ingress", "node owner"] {
+        assert!(through["cpu_us_per_call"][node].as_f64() > Some(0.0), "{through}");
+    }
+    assert!(result["rates"][0]["added"]["p50"].as_f64() > Some(0.0));
+}
+
+/// Guards against a policy or a command that nodes do not know, a zone that gets work after it went
+/// out, and duplicates that run twice behind nodes.
+#[test]
+fn compare_runs_a_policy_of_nodes() {
+    let dir = tempfile::tempdir().unwrap();
+    let args = ["compare", "--policy", "round-robin", "--fault", "zone", "--rate", "300"];
+    // The zone is out for the middle third, which must be longer than the 3 s it has to get empty.
+    let short = ["--seconds", "12", "--warmup", "1", "--duplicate-share", "0.5"];
+    bench(&[&args[..], &short[..]].concat(), dir.path());
+    let result = result(dir.path());
+    let variant = &result["variants"][0];
+    assert_eq!(variant["policy"], "round-robin");
+    let kinds = variant["summary"]["kinds"].as_object().unwrap();
+    assert_eq!(kinds.len(), 4);
+    for (kind, of) in kinds {
+        assert!(of["counts"]["done"].as_u64() > Some(0), "{kind}: {of:#}");
+        let wrong = of["counts"].as_object().unwrap().keys().any(|end| end.starts_with("wrong"));
+        assert!(!wrong, "{kind}: {of:#}");
+    }
+    assert!(kinds["recipe/release"]["repeats"].as_u64() > Some(0), "{variant:#}");
+    assert_eq!(variant["checks"]["run_twice"], 0, "{variant:#}");
+    assert_eq!(variant["checks"]["zone_out_late"], 0, "{variant:#}");
+}
