Do not say "not run" when a retry of a failed run was refused

Cause: for an idempotent kind an answer with status 500 or above is retried at another owner. When that owner refused, the refusal replaced the answer, and the client read not-run for a request that had run and failed. Only attempts with an unknown outcome were remembered, not failed ones. Ruled out by reading the attempt loop: the killed nodes (none was in flight with it) and broken streams, which count as unknown. Now the earlier answer is returned when a later attempt is refused. Test: a_refused_retry_does_not_hide_that_the_request_ran.

--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -35,6 +35,7 @@
         let safety = asked.spec().safety;
         let mut tried: Vec<NodeName> = Vec::new();
         let mut last = Answer::of_kind(ErrorKind::NoUpstream);
+        let mut failed: Option<Answer> = None;
         let mut doubt: Option<ErrorKind> = None;
         loop {
             let now = self.clock.now();
@@ -46,7 +47,11 @@
             }
             let Some(picked) = asked.route.pick(&tried, now) else { break };
             tried.push(picked.owner.node.clone());
-            last = self.attempt(asked, call, body, picked).await;
+            let answer = self.attempt(asked, call, body, picked).await;
+            let before = std::mem::replace(&mut last, answer);
+            if before.outcome == Outcome::Done {
+                failed = Some(before);
+            }
             if let Outcome::Unknown(kind) = last.outcome {
                 doubt.get_or_insert(kind);
             }
@@ -57,7 +62,7 @@
         if tried.is_empty() && self.clock.now() >= asked.deadline {
             last = Answer::of_kind(ErrorKind::DeadlineExceeded);
         }
-        settle(last, doubt)
+        settle(last, failed, doubt)
     }
 
     async fn attempt(
@@ -146,10 +151,12 @@
 }
 
 /// Returns the answer after all attempts. A refusal of the last attempt does not prove that the
-/// request was not run when an earlier attempt may have run it.
-fn settle(mut last: Answer, doubt: Option<ErrorKind>) -> Answer {
-    if let (Outcome::NotRun(_), Some(kind)) = (last.outcome, doubt) {
-        last.outcome = Outcome::Unknown(kind);
+/// request was not run when an earlier attempt may have run it, or has run it and failed.
+fn settle(mut last: Answer, failed: Option<Answer>, doubt: Option<ErrorKind>) -> Answer {
+    match (last.outcome, failed, doubt) {
+        (Outcome::NotRun(_), Some(failed), _) => return failed,
+        (Outcome::NotRun(_), None, Some(kind)) => last.outcome = Outcome::Unknown(kind),
+        _ => {}
     }
     last
 }
--- a/tests/testsuite/dataplane/flow.rs
+++ b/tests/testsuite/dataplane/flow.rs
@@ -265,6 +265,27 @@
     });
 }
 
+/// Guards against an answer "not run" for a request that ran and failed, because the retry of the
+/// failure was refused elsewhere.
+#[test]
+fn a_refused_retry_does_not_hide_that_the_request_ran() {
+    block_on(async {
+        let (ingress, owner) = pair().await;
+        let mut gone = owner.info();
+        gone.node = NodeName::from("gone");
+        gone.inner = "127.0.0.1:1".parse().unwrap();
+        gone.lifecycle = Lifecycle::Serving;
+        // The cost of another zone makes it the second choice.
+        gone.zone = ZoneName::from("elsewhere");
+        show(&[&ingress], vec![gone, owner.info()]);
+        task::sleep(Duration::from_millis(1_100)).await;
+        let mut client = Client::connect(ingress.node.client_addr()).await;
+        let answer = client.get("/kettle/temper?status=500").await;
+        assert_eq!(owner.upstream.record.runs(), 1);
+        assert_eq!((answer.status(), answer.header("x-outcome")), (500, "done"));
+    });
+}
+
 /// Guards against metrics that miss calls, outcomes or the budget.
 #[test]
 fn metrics_count_calls_by_kind_outcome_and_reason() {
