--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -72,6 +72,8 @@
     zone_out_paused_node;
     /// Guards against a node that runs new work in a zone that left while it was cut off.
     zone_out_cut_off_node;
+    /// Guards against new work in a zone that left while all of it was cut off.
+    zone_out_cut_off_zone;
     /// Guards against work for upstreams that leave, and planned stops that interrupt requests.
     drain_and_stop;
     /// Guards against a departure that other nodes learn of through the store only.
@@ -80,6 +82,8 @@
     keepers_restart;
     /// Guards against keys that are lost between a planned stop and a crash.
     keepers_stop_and_kill;
+    /// Guards against a retry, or a refusal as not run, of what a killed node had handed over.
+    killed_in_flight;
     /// Guards against answers that reach another request or arrive cut short.
     late_answers;
     /// Guards against work that depends on the store after the start.
