Drive rollouts from the nodes

Cause: the decisions of crates/rollout were not connected. A new version's servers got requests as soon as they announced themselves, and a rollout in the intent had no effect.

The route of a service now carries which versions it admits. While a rollout is under way the ingress draws the version once per request, counts each attempt for its veto and reports the windows over the inner port. Nodes of the service take the rollout, say once a second that they lead, learn the load of the new servers from the answers, and propose steps under their fence. Without a rollout under way the request path has one comparison of versions more.

Ruled out: choosing the serving version by majority at any time (new servers that outnumber old ones would take over), by the oldest node alone (a node can outlive its upstream), and counting on the watchers' confirmation for the lease (it is up to 2 s old before gossip, and the lease is 3 s; the controller reads the store itself, at most once a second). A controller without facts does not decide, since it would lower the share to nothing.

The default pace cannot complete a rollout in 30 s: 1% to all takes a minute in steps of 10 s, and the hold a quarter of the time. The test of a good version therefore runs for about 90 s, with `in 100s`; the pace is unchanged.

--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -219,6 +219,14 @@
         Some(entry.candidate.clone())
     }
 
+    /// Returns whether an owner of `version` that is not in `tried` may be chosen.
+    pub fn has_candidate(&self, tried: &[NodeName], version: &VersionName) -> bool {
+        let fits = |candidate: &Candidate| {
+            candidate.eligible && candidate.version == *version && !tried.contains(&candidate.node)
+        };
+        self.entries.iter().any(|entry| fits(&entry.candidate))
+    }
+
     /// Takes note of how a request ended at `node`, with the load report of its answer if any.
     ///
     /// `elapsed` is the time since the pick. An answer that says that the upstream failed (a server error) must be passed as
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod owner;
+pub mod rollout;
 pub mod store;
 pub mod timer;
 pub mod view;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -14,6 +14,7 @@
 mod owners;
 mod query;
 mod report;
+mod rollout;
 mod stop;
 
 use std::{
@@ -46,11 +47,13 @@
 use super::{
     Node,
     config::NodeConfig,
+    ingress::Ingress,
     inner::{ControlHandler, client::InnerClient},
     keeper::KeeperService,
     metrics::Metrics,
     operator::OperatorApp,
     owner::Owner,
+    rollout::{LEAD_PATH, REPORT_PATH},
     store::Store,
     view::ViewCell,
 };
@@ -81,6 +84,7 @@
     watching: AtomicBool,
     /// Whether a planned stop is under way.
     stopping: AtomicBool,
+    rollouts: Mutex<rollout::RolloutState>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
     entry_task: Mutex<Option<JoinHandle<()>>>,
 }
@@ -89,6 +93,7 @@
 struct Links<C> {
     node: Arc<NodeConfig>,
     owner: Arc<Owner<C>>,
+    ingress: Arc<Ingress<C>>,
     client: Arc<InnerClient<C>>,
     metrics: Metrics,
 }
@@ -138,6 +143,7 @@
             links: OnceLock::new(),
             watching: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            rollouts: Mutex::default(),
             tasks: Mutex::default(),
             entry_task: Mutex::default(),
         });
@@ -161,6 +167,7 @@
         let links = Links {
             node: Arc::new(node.config().clone()),
             owner: node.owner().clone(),
+            ingress: node.kernel().find("ingress").map_err(io::Error::other)?,
             client: node.kernel().find("inner-client").map_err(io::Error::other)?,
             metrics: node.metrics().clone(),
         };
@@ -173,6 +180,9 @@
         self.spawn(gossip::tick(self.clone()));
         self.spawn(intent::follow(self.clone()));
         self.spawn(initial::settle(self.clone()));
+        self.spawn(rollout::decide(self.clone()));
+        self.spawn(rollout::lead(self.clone()));
+        self.spawn(rollout::report(self.clone()));
         let keeper = node.kernel().find::<KeeperService<C>>("keeper").map_err(io::Error::other)?;
         self.spawn(keep_ledger(self.clone(), keeper));
         let entry = task::spawn(entry::keep(self.clone()));
@@ -280,6 +290,14 @@
                 let push = self.read(|agent, _| agent.serve_members(&pull));
                 Some(codec::encode(&push))
             }
+            REPORT_PATH => {
+                let report = codec::decode(&body).ok()?;
+                Some(codec::encode(&self.take_report(&report)))
+            }
+            LEAD_PATH => {
+                let notice = codec::decode(&body).ok()?;
+                Some(codec::encode(&self.take_lead(&notice)?))
+            }
             _ => None,
         }
     }
--- a/src/node/control/ask.rs
+++ b/src/node/control/ask.rs
@@ -123,14 +123,9 @@
         }
     }
 
-    /// Returns the version that most present upstreams of the service announce.
+    /// Returns the version that this node's ingress calls, which a rollout starts from.
     fn announced_version(&self, service: &ServiceName) -> Option<VersionName> {
-        let view = self.view.load();
-        let owners = view.owners.get(service)?;
-        let announced = owners.iter().filter(|owner| owner.lifecycle.accepts_work());
-        let versions: Vec<_> = announced.map(|owner| &owner.version).collect();
-        let count = |version: &&VersionName| versions.iter().filter(|v| *v == version).count();
-        versions.iter().copied().max_by_key(count).cloned()
+        self.links.get()?.ingress.serving_version(service)
     }
 }
 
--- a/src/node/control/commands.rs
+++ b/src/node/control/commands.rs
@@ -19,7 +19,7 @@
 
 /// Time to settle a command of the node itself. It is repeated if it is still wanted, and a
 /// planned stop must not wait long for a store that is down.
-const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl<C: Clock, S: Store> Control<C, S> {
     /// Carries out a command and spreads what it has learnt.
--- a/src/node/control/query.rs
+++ b/src/node/control/query.rs
@@ -40,14 +40,15 @@
             Query::History { of, last } => self.history(of.as_deref(), *last).await,
             Query::ExplainRefusal(kind) => Answer::plain(&explain(*kind)),
             Query::Operation(operation) => self.operation(*operation).await,
-            Query::ExplainRollout(_) | Query::ExplainUpstream(_) => {
+            Query::ExplainRollout(service) => self.explain_rollout(service),
+            Query::ExplainUpstream(_) => {
                 Answer::failure(StatusCode::NotImplemented, "this node cannot explain that yet")
             }
         }
     }
 
     /// Returns how old what the node knows is.
-    fn basis(&self) -> Basis {
+    pub(super) fn basis(&self) -> Basis {
         self.read(|agent, now| {
             let table = agent.membership().table();
             let unheard = table.after(None).filter(|entry| {
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -27,7 +27,7 @@
     AsyncReadExt,
     future::{Either, select},
 };
-use oleandertiller_model::{Clock, ErrorKind};
+use oleandertiller_model::{Clock, ErrorKind, ServiceName, VersionName};
 use oleandertiller_routing::budget::Budget;
 use tide::http::Request;
 use uuid::Uuid;
@@ -39,7 +39,7 @@
 };
 use crate::node::{
     config::NodeConfig, conn::Conn, inner::client::InnerClient, keys::Keys, metrics::Metrics,
-    owner::Owner, timer::Timers, view::ViewCell,
+    owner::Owner, rollout::watch::Watch, timer::Timers, view::ViewCell,
 };
 
 /// Pause after a failed accept, such as for want of file descriptors.
@@ -159,6 +159,18 @@
         self.active.load(Ordering::Relaxed)
     }
 
+    /// Returns the version of a service that this node calls while no rollout is under way.
+    pub fn serving_version(&self, service: &ServiceName) -> Option<VersionName> {
+        let route = self.routes.find(service.as_str(), &self.view.load(), self.clock.now())?;
+        route.admission.serving().cloned()
+    }
+
+    /// Returns the watches over the rollouts of the services that have been called.
+    pub fn watches(&self) -> Vec<Arc<Watch>> {
+        let routes = self.routes.all();
+        routes.values().filter_map(|route| route.admission.watch().cloned()).collect()
+    }
+
     async fn connection(self: Arc<Self>, stream: TcpStream, stop: Receiver<()>) {
         let _client = Counted::new(&self.clients);
         let Ok(conn) = Conn::new(stream) else { return };
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -36,6 +36,8 @@
         let mut tried: Vec<NodeName> = Vec::new();
         let mut last = Answer::of_kind(ErrorKind::NoUpstream);
         let mut doubt: Option<ErrorKind> = None;
+        // One draw for all attempts, so that retries stay with the version that was picked.
+        let draw = rand::random();
         loop {
             let now = self.clock.now();
             if now >= asked.deadline {
@@ -44,7 +46,7 @@
             if !tried.is_empty() && !self.take_retry(now) {
                 break;
             }
-            let Some(picked) = asked.route.pick(&tried, now) else { break };
+            let Some(picked) = asked.route.pick(asked.kind, &tried, draw, now) else { break };
             tried.push(picked.owner.node.clone());
             last = self.attempt(asked, call, body, picked).await;
             if let Outcome::Unknown(kind) = last.outcome {
--- a/src/node/ingress/route.rs
+++ b/src/node/ingress/route.rs
@@ -15,6 +15,7 @@
 
 use crate::node::{
     metrics::{KindMetrics, Metrics},
+    rollout::{admission::Admission, watch::attempt_of},
     view::{OwnerInfo, View},
 };
 
@@ -26,6 +27,8 @@
     pub metrics: Vec<KindMetrics>,
     /// Intent from which the route was made.
     pub intent: Arc<Intent>,
+    /// Versions that may receive requests.
+    pub admission: Admission,
     owners: Option<Arc<[OwnerInfo]>>,
     addresses: HashMap<NodeName, SocketAddr>,
     selector: Arc<Mutex<Selector>>,
@@ -51,10 +54,18 @@
         self.addresses.get(node).copied()
     }
 
-    /// Chooses an owner that is not in `tried`.
-    pub fn pick(&self, tried: &[NodeName], now: Instant) -> Option<Picked<'_>> {
-        let owner = self.selector().pick(&mut rand::rng(), tried, None, now)?;
-        Some(Picked { route: self, owner, started: now, ended: false })
+    /// Chooses an owner that is not in `tried`; `draw` decides on the version during a rollout.
+    pub fn pick(
+        &self,
+        kind: usize,
+        tried: &[NodeName],
+        draw: u64,
+        now: Instant,
+    ) -> Option<Picked<'_>> {
+        let mut selector = self.selector();
+        let version = self.admission.pick(&selector, tried, draw)?;
+        let owner = selector.pick(&mut rand::rng(), tried, Some(version), now)?;
+        Some(Picked { route: self, owner, kind, started: now, ended: false })
     }
 
     fn selector(&self) -> MutexGuard<'_, Selector> {
@@ -71,6 +82,7 @@
     route: &'a ServiceRoute,
     /// The owner.
     pub owner: Candidate,
+    kind: usize,
     started: Instant,
     ended: bool,
 }
@@ -84,6 +96,13 @@
 
     fn tell(&self, outcome: Outcome, load: Option<LoadReport>, now: Instant) {
         let elapsed = now.saturating_duration_since(self.started);
+        if let Some(watch) = self.route.admission.watch()
+            && let Some(attempt) = attempt_of(outcome, load.as_ref(), elapsed)
+        {
+            // The owner's own word is newer than what gossip says.
+            let version = load.as_ref().map_or(&self.owner.version, |load| &load.version);
+            watch.observe(&self.owner.node, version, self.kind, attempt);
+        }
         self.route.selector().on_end(&self.owner.node, outcome, elapsed, load, now);
     }
 }
@@ -165,8 +184,9 @@
         lock.unwrap_or_else(PoisonError::into_inner).set_candidates(candidates, now);
         let addresses = list.iter().map(|owner| (owner.node.clone(), owner.inner)).collect();
         let metrics = ServiceRoute::metrics(&self.metrics, spec);
-        let (spec, intent) = (spec.clone(), view.intent.clone());
-        ServiceRoute { spec, metrics, intent, owners: owners.cloned(), addresses, selector }
+        let admission = Admission::of(spec, view, old.map(|old| &old.admission), now);
+        let (spec, intent, owners) = (spec.clone(), view.intent.clone(), owners.cloned());
+        ServiceRoute { spec, metrics, intent, admission, owners, addresses, selector }
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,3 +5,4 @@
 mod dataplane;
 mod keyed;
 mod processes;
+mod rollouts;
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -114,6 +114,7 @@
     pub name: &'static str,
     pub zone: &'static str,
     pub service: &'static str,
+    pub version: &'static str,
     pub seeds: Vec<SocketAddr>,
     /// Behaviour of the upstream as JSON.
     pub behaviour: &'static str,
@@ -121,7 +122,18 @@
 
 impl Plan {
     pub fn new(name: &'static str, zone: &'static str, service: &'static str) -> Self {
-        Self { name, zone, service, seeds: Vec::new(), behaviour: r#"{"connect_ms":0}"# }
+        let behaviour = r#"{"connect_ms":0}"#;
+        Self { name, zone, service, version: "v1", seeds: Vec::new(), behaviour }
+    }
+
+    /// Sets the version of the upstream.
+    pub fn with_version(self, version: &'static str) -> Self {
+        Self { version, ..self }
+    }
+
+    /// Sets the behaviour of the upstream, as JSON.
+    pub fn with_behaviour(self, behaviour: &'static str) -> Self {
+        Self { behaviour, ..self }
     }
 }
 
@@ -159,11 +171,18 @@
         command.args(["node", "--settings"]).arg(&settings);
         command.stdout(Stdio::null()).stderr(File::create(&log).unwrap());
         let process = Process(command.spawn().unwrap());
-        let args = ["--service", service, "--announce-to", &operator.to_string()]
-            .map(str::to_owned)
-            .into_iter()
-            .chain(["--calls-through".into(), client.to_string()])
-            .chain(["--behaviour".into(), plan.behaviour.into()]);
+        let args = [
+            "--service",
+            service,
+            "--version",
+            plan.version,
+            "--announce-to",
+            &operator.to_string(),
+        ]
+        .map(str::to_owned)
+        .into_iter()
+        .chain(["--calls-through".into(), client.to_string()])
+        .chain(["--behaviour".into(), plan.behaviour.into()]);
         let (upstream_process, addresses) = standin("standin-upstream", &args.collect::<Vec<_>>());
         let (upstream, name) = (addresses[0], plan.name);
         let _upstream = upstream_process;
@@ -195,6 +214,12 @@
         serde_json::from_slice(&reply.body).unwrap()
     }
 
+    /// Changes how the upstream behaves; `behaviour` is JSON.
+    pub async fn set_behaviour(&self, behaviour: &str) {
+        let reply = call(self.upstream, "POST", "/admin/behaviour", &[], behaviour).await;
+        assert_eq!(reply.status(), 200, "{behaviour}");
+    }
+
     /// Returns the node's log lines, for messages of failed tests.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- /dev/null
+++ b/tests/testsuite/rollouts/admission.rs
@@ -0,0 +1,117 @@
+//! Which version serves while no rollout is under way.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use oleandertiller::node::{
+    rollout::admission::Admission,
+    view::{OwnerInfo, View},
+};
+use oleandertiller_model::{
+    Intent, KindSpec, Lifecycle, Revision, ServiceSpec,
+    intent::{PPM, Rollout, RolloutPhase},
+};
+
+/// Time after which the first choice stands.
+const SETTLED: Duration = Duration::from_secs(10);
+
+fn owner(node: &str, version: &str, incarnation: u64) -> OwnerInfo {
+    OwnerInfo {
+        node: node.into(),
+        incarnation,
+        zone: "zone-a".into(),
+        region: "region".into(),
+        inner: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        version: version.into(),
+        lifecycle: Lifecycle::Serving,
+        reachable: true,
+    }
+}
+
+fn rollout(phase: RolloutPhase) -> Rollout {
+    Rollout {
+        from: "v1".into(),
+        to: "v2".into(),
+        started: SystemTime::UNIX_EPOCH,
+        deadline: SystemTime::UNIX_EPOCH,
+        phase,
+        share_ppm: if phase == RolloutPhase::Completed { PPM } else { 0 },
+        controller: None,
+        fence: Revision(1),
+        reason: "".into(),
+    }
+}
+
+fn view(owners: Vec<OwnerInfo>, phase: Option<RolloutPhase>) -> View {
+    let mut intent = Intent::default();
+    intent.rollouts.extend(phase.map(|phase| ("kettle".into(), rollout(phase))));
+    let owners = HashMap::from([("kettle".into(), owners.into())]);
+    View { intent: Arc::new(intent), owners }
+}
+
+fn admission(view: &View, old: Option<&Admission>, now: Instant) -> Admission {
+    let spec = ServiceSpec::new("kettle", vec![KindSpec::new("temper")]);
+    Admission::of(&spec, view, old, now)
+}
+
+fn serving(view: &View, old: Option<&Admission>, now: Instant) -> Option<String> {
+    admission(view, old, now).serving().map(|version| version.as_str().to_owned())
+}
+
+fn v1() -> Option<String> {
+    Some("v1".to_owned())
+}
+
+fn v2() -> Option<String> {
+    Some("v2".to_owned())
+}
+
+/// Guards against new servers that take over because there are more of them than old ones.
+#[test]
+fn the_serving_version_stays_until_its_servers_are_gone() {
+    let now = Instant::now();
+    let first = admission(&view(vec![owner("a", "v1", 1)], None), None, now);
+    let later = now + SETTLED;
+    let both = vec![owner("a", "v1", 1), owner("b", "v2", 2), owner("c", "v2", 3)];
+    assert_eq!(serving(&view(both.clone(), None), Some(&first), later), v1());
+    let mut unreachable = both.clone();
+    unreachable[0].reachable = false;
+    assert_eq!(serving(&view(unreachable, None), Some(&first), later), v1());
+    let mut leaving = both.clone();
+    leaving[0].lifecycle = Lifecycle::Draining;
+    assert_eq!(serving(&view(leaving, None), Some(&first), later), v2());
+    assert_eq!(serving(&view(both[1..].into(), None), Some(&first), later), v2());
+}
+
+/// Guards against a choice on the part of the fleet that a node hears of first, and against one
+/// that differs between nodes when there are as many old servers as new ones.
+#[test]
+fn the_first_choice_is_the_most_common_and_then_the_oldest_version() {
+    let now = Instant::now();
+    let first = admission(&view(vec![owner("c", "v2", 3)], None), None, now);
+    let equal = vec![owner("a", "v1", 1), owner("c", "v2", 3)];
+    assert_eq!(serving(&view(equal.clone(), None), None, now), v1());
+    assert_eq!(serving(&view(equal, None), Some(&first), now + SETTLED / 2), v1());
+    let mut absent = vec![owner("a", "v1", 1), owner("c", "v2", 3)];
+    absent[0].lifecycle = Lifecycle::Absent;
+    assert_eq!(serving(&view(absent, None), None, now), v2());
+    assert_eq!(serving(&view(vec![], None), None, now), None);
+}
+
+/// Guards against a version that was taken back and returns because its servers are still there.
+#[test]
+fn the_last_rollout_names_the_serving_version() {
+    let now = Instant::now();
+    let both = vec![owner("a", "v1", 1), owner("b", "v2", 2), owner("c", "v2", 3)];
+    let completed = Some(RolloutPhase::Completed);
+    let taken_back = Some(RolloutPhase::TakenBack);
+    assert_eq!(serving(&view(both[..2].into(), completed), None, now), v2());
+    assert_eq!(serving(&view(both.clone(), taken_back), None, now), v1());
+    assert_eq!(serving(&view(both[1..].into(), taken_back), None, now), None);
+    let other = vec![owner("c", "v2", 3), owner("d", "v3", 4)];
+    assert_eq!(serving(&view(other, taken_back), None, now), Some("v3".to_owned()));
+}
