Send probes out of the measuring budget

Cause: nothing drove Selector::probe_target, so the operators' measuring budget paid for nothing, and a returning zone got no work under low load: an ingress keeps to owners whose load it knows.

`show budget` and the metrics show cost, earnings and refusals. The measuring bucket is read under one lock, so that the test checks every window between two looks against the bound exactly. Versions that no rollout admits are no candidates, so they are not probed either.

Ruled out: spending saved tokens at once (they were gone before the ramp admitted a request) and probing owners in the first quarter of their ramp, for the same reason.

A probe costs 100 calls at 1%, so below about 10 calls/s at one ingress a saved token is needed; this was not measured.

--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -31,6 +31,7 @@
     filled: Instant,
     calls: u64,
     taken: u64,
+    micro_earned: u64,
 }
 
 impl Budget {
@@ -46,6 +47,7 @@
             filled: now,
             calls: 0,
             taken: 0,
+            micro_earned: 0,
         }
     }
 
@@ -70,6 +72,7 @@
     /// Credits one call.
     pub fn on_call(&mut self) {
         self.calls += 1;
+        self.micro_earned += u64::from(self.share_ppm);
         self.tokens = (self.tokens + u64::from(self.share_ppm)).min(self.burst);
     }
 
@@ -89,6 +92,12 @@
         self.calls
     }
 
+    /// Returns the number of tokens that the calls so far were worth, with those that did not fit
+    /// into the bucket.
+    pub fn earned(&self) -> f64 {
+        self.micro_earned as f64 / MICRO as f64
+    }
+
     /// Returns the number of tokens taken so far.
     pub fn taken(&self) -> u64 {
         self.taken
--- a/crates/routing/src/selection.rs
+++ b/crates/routing/src/selection.rs
@@ -26,6 +26,10 @@
 /// Least share at which a returning candidate is considered at the start of its ramp.
 const RAMP_START: f64 = 0.02;
 
+/// Part of its ramp after which a candidate is worth a probe: the load of one that is hardly
+/// admitted is too old again before a request can use it.
+const PROBE_RAMP_PART: u32 = 4;
+
 /// Least time between two probes of one owner.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -137,6 +141,7 @@
     /// Usual service time of the service in seconds.
     usual: Option<f64>,
     turn: usize,
+    picked_at: Option<Instant>,
 }
 
 impl Selector {
@@ -150,6 +155,7 @@
             eligible: Vec::new(),
             usual: None,
             turn: 0,
+            picked_at: None,
         }
     }
 
@@ -216,9 +222,15 @@
         };
         let entry = &mut self.entries[at];
         entry.load.on_pick(now);
+        self.picked_at = Some(now);
         Some(entry.candidate.clone())
     }
 
+    /// Returns when an owner was last chosen.
+    pub fn picked_at(&self) -> Option<Instant> {
+        self.picked_at
+    }
+
     /// Returns whether an owner of `version` that is not in `tried` may be chosen.
     pub fn has_candidate(&self, tried: &[NodeName], version: &VersionName) -> bool {
         let fits = |candidate: &Candidate| {
@@ -257,8 +269,11 @@
         let cfg = &self.cfg;
         let due = |entry: &&mut Entry| {
             let waiting = entry.load.probed_at.is_some_and(|at| now - at < PROBE_INTERVAL);
+            let early = cfg.zone_ramp / PROBE_RAMP_PART;
+            let early = entry.load.ramp_from.is_some_and(|from| now - from < early);
             entry.candidate.eligible
                 && !waiting
+                && !early
                 && entry.load.knowledge(cfg, now) != Knowledge::Fresh
         };
         let oldest = self.entries.iter_mut().filter(due).min_by_key(|e| e.load.probed_at)?;
--- a/crates/routing/tests/selection.rs
+++ b/crates/routing/tests/selection.rs
@@ -253,6 +253,19 @@
     assert!(target(&mut bench).is_some());
 }
 
+/// Guards against probes that are spent on a returning owner before its ramp admits requests.
+#[test]
+fn returning_owners_are_probed_once_their_ramp_admits_requests() {
+    let mut bench = Bench::new(SelectionConfig::default(), &["a"]);
+    bench.probe("a", report(1));
+    bench.candidates.push(candidate("b"));
+    bench.selector.set_candidates(bench.candidates.clone(), bench.now);
+    assert_eq!(bench.selector.probe_target(bench.now), None);
+    bench.now += SelectionConfig::default().zone_ramp / 2;
+    bench.probe("a", report(2));
+    assert_eq!(bench.selector.probe_target(bench.now).map(|c| c.node), Some("b".into()));
+}
+
 /// Guards against needless crossings between zones, and against a zone cost that outweighs a wait.
 #[test]
 fn own_zone_is_preferred_at_equal_load() {
--- a/src/node/control/query.rs
+++ b/src/node/control/query.rs
@@ -10,7 +10,7 @@
     Change, Clock, ErrorKind, Intent, Lifecycle, Revision, ServiceName, ZoneName,
     intent::ZoneIntent,
 };
-use serde_json::{Value, json};
+use serde_json::json;
 use tide::StatusCode;
 use uuid::Uuid;
 
@@ -141,16 +141,30 @@
     }
 
     fn budget(&self, intent: &Intent) -> Table {
-        let mut table = Table::new(["budget", "share", "probes", "retries", "retries-refused"]);
-        let count = |counter: fn(&crate::node::metrics::Metrics) -> u64| {
-            self.links.get().map_or(Value::Null, |links| json!(counter(&links.metrics)))
-        };
+        let columns = [
+            "budget",
+            "share",
+            "calls",
+            "probes-earned",
+            "probes",
+            "probe-bytes",
+            "probes-refused",
+            "retries",
+            "retries-refused",
+        ];
+        let mut table = Table::new(columns);
+        let Some(links) = self.links.get() else { return table };
+        let (cost, metrics) = (links.ingress.measuring_cost(), &links.metrics);
         table.push([
             json!("measuring"),
             json!(print_percent(intent.measuring_ppm())),
-            count(|metrics| metrics.probes.get()),
-            count(|metrics| metrics.retries.get()),
-            count(|metrics| metrics.retries_refused.get()),
+            json!(cost.calls),
+            json!(cost.earned),
+            json!(cost.probes),
+            json!(metrics.probe_bytes.get()),
+            json!(cost.refused),
+            json!(metrics.retries.get()),
+            json!(metrics.retries_refused.get()),
         ]);
         table
     }
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -2,7 +2,9 @@
 
 pub mod answer;
 mod attempts;
+pub mod budgets;
 mod keyed;
+mod probe;
 pub mod request;
 pub mod route;
 
@@ -28,12 +30,12 @@
     future::{Either, select},
 };
 use oleandertiller_model::{Clock, ErrorKind, ServiceName, VersionName};
-use oleandertiller_routing::budget::Budget;
 use tide::http::Request;
 use uuid::Uuid;
 
 use self::{
     answer::Answer,
+    budgets::Budgets,
     request::{Asked, BodyKind, body_kind, parse, request_id},
     route::{RouteMaker, Routes},
 };
@@ -56,7 +58,7 @@
     client: Arc<InnerClient<C>>,
     keys: Arc<Keys<C>>,
     routes: Routes,
-    budget: Mutex<Budget>,
+    budgets: Mutex<Budgets>,
     clients: AtomicUsize,
     active: AtomicUsize,
 }
@@ -119,8 +121,7 @@
         let Destinations { owner, client, keys } = routes_to;
         let selection = cfg.selection.clone();
         let maker = RouteMaker { selection, zone: cfg.zone.clone(), metrics: metrics.clone() };
-        let retry = cfg.retry;
-        let budget = Budget::new(retry.share_ppm, retry.per_second, retry.burst, clock.now());
+        let budgets = Budgets::new(cfg.retry, clock.now());
         Self {
             cfg,
             clock,
@@ -131,7 +132,7 @@
             client,
             keys,
             routes: Routes::new(maker),
-            budget: Mutex::new(budget),
+            budgets: Mutex::new(budgets),
             clients: AtomicUsize::new(0),
             active: AtomicUsize::new(0),
         }
@@ -306,7 +307,7 @@
         body: Bytes,
     ) -> Option<Answer> {
         let started = self.clock.now();
-        self.budget().on_call();
+        self.budgets().on_call();
         self.metrics.ingress_in_flight.inc();
         let work = self.run(asked, id, body);
         let gone = async {
@@ -353,8 +354,8 @@
         self.timers.within(end, conn.discard(LINGER_BYTES)).await;
     }
 
-    fn budget(&self) -> MutexGuard<'_, Budget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    fn budgets(&self) -> MutexGuard<'_, Budgets> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -107,7 +107,7 @@
     }
 
     fn take_retry(&self, now: Instant) -> bool {
-        let taken = self.budget().try_take(now);
+        let taken = self.budgets().extra.try_take(now);
         let counter = if taken { &self.metrics.retries } else { &self.metrics.retries_refused };
         counter.inc();
         taken
--- a/src/node/ingress/route.rs
+++ b/src/node/ingress/route.rs
@@ -68,6 +68,21 @@
         Some(Picked { route: self, owner, kind, started: now, ended: false })
     }
 
+    /// Returns whether an owner was chosen after `at`.
+    pub(super) fn called_since(&self, at: Instant) -> bool {
+        self.selector().picked_at().is_some_and(|picked| picked > at)
+    }
+
+    /// Returns an owner whose load is worth a probe.
+    pub(super) fn probe_target(&self, now: Instant) -> Option<Candidate> {
+        self.selector().probe_target(now)
+    }
+
+    /// Tells the selector of the answer to a probe.
+    pub(super) fn on_probe(&self, node: &NodeName, load: Option<LoadReport>, now: Instant) {
+        self.selector().on_probe(node, load, now);
+    }
+
     fn selector(&self) -> MutexGuard<'_, Selector> {
         self.selector.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -179,24 +194,24 @@
         };
         let owners = view.owners.get(&spec.name);
         let list = owners.map_or(&[][..], |owners| &owners[..]);
-        let candidates = list.iter().map(|owner| candidate(owner, view)).collect();
+        let admission = Admission::of(spec, view, old.map(|old| &old.admission), now);
+        let candidates = list.iter().map(|owner| candidate(owner, view, &admission)).collect();
         let lock = selector.lock();
         lock.unwrap_or_else(PoisonError::into_inner).set_candidates(candidates, now);
         let addresses = list.iter().map(|owner| (owner.node.clone(), owner.inner)).collect();
         let metrics = ServiceRoute::metrics(&self.metrics, spec);
-        let admission = Admission::of(spec, view, old.map(|old| &old.admission), now);
         let (spec, intent, owners) = (spec.clone(), view.intent.clone(), owners.cloned());
         ServiceRoute { spec, metrics, intent, admission, owners, addresses, selector }
     }
 }
 
-fn candidate(owner: &OwnerInfo, view: &View) -> Candidate {
-    let in_service = view.intent.zone_in_service(&owner.zone);
+fn candidate(owner: &OwnerInfo, view: &View, admission: &Admission) -> Candidate {
+    let wanted = view.intent.zone_in_service(&owner.zone) && admission.admits(&owner.version);
     Candidate {
         node: owner.node.clone(),
         incarnation: owner.incarnation,
         zone: owner.zone.clone(),
         version: owner.version.clone(),
-        eligible: in_service && owner.reachable && owner.lifecycle.accepts_work(),
+        eligible: wanted && owner.reachable && owner.lifecycle.accepts_work(),
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -57,6 +57,8 @@
     pub probes: Counter,
     /// Bytes of probes and their answers.
     pub probe_bytes: Counter,
+    /// Probes not sent because the measuring budget was empty.
+    pub probes_refused: Counter,
     /// Metrics of the control services.
     pub control: ControlMetrics,
     /// Service-level burn.
@@ -138,6 +140,7 @@
             retries_refused: Counter::default(),
             probes: Counter::default(),
             probe_bytes: Counter::default(),
+            probes_refused: Counter::default(),
             control: ControlMetrics::default(),
             burn: BurnBook::new(start),
         };
@@ -163,6 +166,7 @@
             ("retries_refused", "Retries not made for want of budget", &self.retries_refused),
             ("probes", "Probes sent", &self.probes),
             ("probe_bytes", "Bytes of probes and their answers", &self.probe_bytes),
+            ("probes_refused", "Probes not sent for want of budget", &self.probes_refused),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/src/node/rollout/admission.rs
+++ b/src/node/rollout/admission.rs
@@ -56,6 +56,15 @@
         serve(owners, rollout, serving, now).map_or(Self::Nothing, Self::One)
     }
 
+    /// Returns whether the version may receive requests.
+    pub fn admits(&self, version: &VersionName) -> bool {
+        match self {
+            Self::Nothing => false,
+            Self::One(serving) => serving.version == *version,
+            Self::Split(_, rollout) => rollout.from == *version || rollout.to == *version,
+        }
+    }
+
     /// Returns the watch over the rollout under way.
     pub fn watch(&self) -> Option<&Arc<Watch>> {
         match self {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod control;
 mod dataplane;
 mod keyed;
+mod probes;
 mod processes;
 mod rollouts;
--- a/tests/testsuite/rollouts.rs
+++ b/tests/testsuite/rollouts.rs
@@ -1,7 +1,7 @@
 //! Rollouts on nodes as processes.
 
 mod admission;
-mod load;
+pub mod load;
 
 use std::time::{Duration, Instant};
 
--- a/tests/testsuite/rollouts/load.rs
+++ b/tests/testsuite/rollouts/load.rs
@@ -40,8 +40,13 @@
 impl Load {
     /// Starts clients at the given nodes.
     pub fn start(nodes: &[NodeProcess], path: &'static str) -> Self {
+        Self::start_with(nodes, path, CLIENTS)
+    }
+
+    /// Starts this number of clients at each of the given nodes.
+    pub fn start_with(nodes: &[NodeProcess], path: &'static str, clients: usize) -> Self {
         let counts = Arc::new(Counts::default());
-        let addresses = nodes.iter().flat_map(|node| [node.client; CLIENTS]);
+        let addresses = nodes.iter().flat_map(|node| std::iter::repeat_n(node.client, clients));
         let client = |address| task::spawn(run(address, path, counts.clone()));
         let clients = addresses.map(client).collect();
         Self { counts, clients }
