Make the setting reserve name when slots are kept

Cause: `[limits] reserve` was a share that nothing used; the limiter keeps an eighth of the limit, and only when it does so can be chosen.

The setting is now `always`, `while-used` (the default, as before in effect) or `never` and reaches the limiter. A share is refused with the words that are allowed. The test that reports all errors at once keeps a share that is too large, now in `[retries]`, so that it covers the same kinds of values.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -181,6 +181,7 @@
         cfg.cold_limit = self.cold_limit;
         cfg.max_queue_wait = self.max_queue_wait;
         cfg.max_queued = self.max_queued as usize;
+        cfg.reserve = self.reserve;
     }
 }
 
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -4,11 +4,11 @@
 
 use log::LevelFilter;
 use oleandertiller_model::{NodeName, RegionName, ServiceName, ZoneName};
-use oleandertiller_routing::selection::Policy;
+use oleandertiller_routing::{limit::Reserve, selection::Policy};
 
 use super::{
     reader::Reader,
-    value::{Allowed, FORMATS, LEVELS, LogFormat, POLICIES, Share},
+    value::{Allowed, FORMATS, LEVELS, LogFormat, POLICIES, RESERVES, Share},
 };
 
 /// Section of operators' tokens, whose keys are names.
@@ -129,8 +129,8 @@
             "Longest wait for a slot at the owner.";
         "max-queued", max_queued: u32, Some("256"), number(0, 100_000, ""),
             "Most requests that wait at the owner.";
-        "reserve", reserve: Share, Some("10%"), percent(500_000),
-            "Share of the limit kept for nested calls; at least one slot from a limit of 2 on.";
+        "reserve", reserve: Reserve, Some("while-used"), Allowed::OneOf(RESERVES),
+            "When an eighth of the limit, at least one slot, is kept for nested calls; `while-used` is until a minute after the last one.";
     }
     /// Choice of an owner.
     "selection" => SelectionSettings {
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -5,7 +5,7 @@
 use log::LevelFilter;
 use oleandertiller_language::units::{parse_percent, print_percent};
 use oleandertiller_model::{NodeName, RegionName, ServiceName, ZoneName, name};
-use oleandertiller_routing::selection::Policy;
+use oleandertiller_routing::{limit::Reserve, selection::Policy};
 
 /// What a value must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,6 +145,20 @@
     }
 }
 
+/// Words for [`Reserve`].
+pub const RESERVES: &[&str] = &["always", "while-used", "never"];
+
+impl Setting for Reserve {
+    fn parse(text: &str, _: &Allowed) -> Option<Self> {
+        match text {
+            "always" => Some(Self::Always),
+            "while-used" => Some(Self::WhileUsed),
+            "never" => Some(Self::Never),
+            _ => None,
+        }
+    }
+}
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
--- a/tests/cli/settings.rs
+++ b/tests/cli/settings.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use oleandertiller::settings::{Settings, Share, Token, table::KEYS};
-use oleandertiller_routing::selection::Policy;
+use oleandertiller::settings::{Settings, Token, table::KEYS};
+use oleandertiller_routing::{
+    limit::{LimitConfig, Reserve},
+    selection::Policy,
+};
 use proptest::{collection::vec, prelude::*, sample::select};
 
 pub const TUUL: &str = include_str!("../../examples/settings/tuul.ini");
@@ -30,7 +33,7 @@
     assert_eq!((temper.weight, temper.deadline), (10, Duration::from_millis(50)));
     let trunkworks = Settings::read(TRUNKWORKS).unwrap();
     assert_eq!(trunkworks.ledger.window, Duration::from_secs(300));
-    assert_eq!(trunkworks.limits.reserve, Share(200_000));
+    assert_eq!(trunkworks.limits.reserve, Reserve::Always);
 }
 
 /// Guards against defaults in the table that their own key would refuse.
@@ -41,6 +44,21 @@
     assert_eq!(settings.selection.policy, Policy::ExpectedWait);
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.limits.config().max_queued, 256);
+    assert_eq!(settings.limits.config(), LimitConfig::default());
+}
+
+/// Guards against a reserve that is read and then not used by the owner's limiter.
+#[test]
+fn the_reserve_reaches_the_limiter() {
+    let words = [
+        ("always", Reserve::Always),
+        ("while-used", Reserve::WhileUsed),
+        ("never", Reserve::Never),
+    ];
+    for (word, reserve) in words {
+        let text = format!("{MINIMAL}[limits]\nreserve = {word}\n");
+        assert_eq!(Settings::read(&text).unwrap().limits.config().reserve, reserve);
+    }
 }
 
 /// Guards against a key that is declared twice, of which one would be ignored.
@@ -83,6 +101,8 @@
 candidates = 99999999999999999999
 [log]
 level = INFO
+[retries]
+share = 60%
 [service kettle]
 kind temper = weight 10, deadline 50ms
 kind status = idempotent, deadlin 50ms
