--- a/tests/scenarios/fleet.rs
+++ b/tests/scenarios/fleet.rs
@@ -121,7 +121,7 @@
         let settings = self.dir.path().join(format!("{}.ini", member.name));
         let args = ["node".into(), "--settings".into(), settings.display().to_string()];
         let program = beside("oleandertiller")?;
-        let process = Process::start(&member.name, &program, &args, THREADS)?;
+        let process = Process::start(&member.name, &program, &args)?;
         *member.process.lock().unwrap() = Some(process);
         Ok(())
     }
@@ -135,7 +135,8 @@
         let (seeds, routes) = (seeds.join(", "), self.links.routes(index));
         let store = self.links.store(index);
         let text = format!(
-            "[node]\nname = {name}\nzone = {zone}\nservice = {service}\n[listen]\n\
+            "[node]\nname = {name}\nzone = {zone}\nservice = {service}\n\
+             threads = {THREADS}\n[listen]\n\
              client = {client}\ninner = {inner}\ngossip = {gossip}\noperator = {operator}\n\
              [store]\naddress = {store}\n[peers]\nseeds = {seeds}\nroutes = {routes}\n\
              [log]\nlevel = error\n{SERVICES}"
