Share the accept loop of the three ports; plainer names in the fleet crate

Cause: three accept loops and two counting guards stood in the node with the same lines; 'word', 'absorb' and 'doubt' were names of our own. Conclusion: src/node/accept.rs serves all ports; the fleet crate speaks of reports, applying changes and uncertain writes. No behaviour changes.

--- a/crates/bench/src/capacity/document.rs
+++ b/crates/bench/src/capacity/document.rs
@@ -90,10 +90,10 @@
     let mut best = Duration::MAX;
     for _ in 0..ROUNDS {
         let mut replica = Replica::new();
-        replica.absorb_document(doc.clone().into());
+        replica.apply_document(doc.clone().into());
         let held = shared.then(|| replica.intent().clone());
         let change = put_keeper(doc, 0);
-        best = best.min(shortest(1, || replica.absorb_change(&change)));
+        best = best.min(shortest(1, || replica.apply_change(&change)));
         drop(held);
     }
     best
--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -162,7 +162,7 @@
             return Vec::new();
         }
         let before = self.replica.revision();
-        self.replica.absorb_changes(&datagram.changes);
+        self.replica.apply_changes(&datagram.changes);
         self.note_revision(&datagram.from, datagram.revision);
         self.spread_changes(before);
         let rumours = std::mem::take(&mut datagram.rumours);
@@ -206,7 +206,7 @@
         let before = self.replica.revision();
         match push {
             Some(push) => {
-                self.replica.absorb_push(push);
+                self.replica.apply_push(push);
             }
             None => {
                 let peer = self.pull.as_ref().map(|pull| pull.peer.clone());
--- a/crates/fleet/src/intent.rs
+++ b/crates/fleet/src/intent.rs
@@ -21,5 +21,5 @@
 pub use base::{base_key, parse_base, write_base};
 pub use command::{Command, CommandOutcome, NotAccepted};
 pub use head::{HEAD_KEY, Head, HeadError, TAIL};
-pub use replica::{Absorbed, Replica};
+pub use replica::{Applied, Replica};
 pub use watcher::{Watcher, WatcherEvent};
--- a/crates/fleet/src/intent/command.rs
+++ b/crates/fleet/src/intent/command.rs
@@ -13,7 +13,7 @@
 use super::{
     base::{base_key, parse_base, write_base},
     head::{HEAD_KEY, Head},
-    replica::{Absorbed, Replica},
+    replica::{Applied, Replica},
 };
 use crate::store::{Backoff, Step, StoreAnswer, StoreCall};
 
@@ -82,7 +82,7 @@
 
 /// A write whose answer was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Doubt {
+struct UncertainWrite {
     /// Version of the head that the write expected.
     version: u64,
     /// Revision that the write makes if it takes effect.
@@ -101,7 +101,7 @@
 
 /// One command under way.
 ///
-/// At most one write of the head is in doubt at any time. It is settled before anything else is
+/// At most one write of the head is uncertain at any time. It is settled before anything else is
 /// concluded: either the same operation is written again at the same expected version, or a read
 /// shows a higher version. Then the write can no longer take effect, and the change that made its
 /// revision shows whether it did.
@@ -114,7 +114,7 @@
     deadline: Instant,
     replica: Replica,
     stage: Stage,
-    doubt: Option<Doubt>,
+    uncertain: Option<UncertainWrite>,
     contended: bool,
     backoff: Backoff,
 }
@@ -139,7 +139,7 @@
             .field("operation", &self.operation)
             .field("replica", &self.replica)
             .field("stage", &self.stage)
-            .field("doubt", &self.doubt)
+            .field("uncertain", &self.uncertain)
             .field("contended", &self.contended)
             .finish_non_exhaustive()
     }
@@ -167,7 +167,7 @@
             deadline,
             replica: replica.clone(),
             stage: Stage::ReadHead,
-            doubt: None,
+            uncertain: None,
             contended: false,
             backoff: Backoff::new(RETRY_BASE, RETRY_CAP),
         }
@@ -244,7 +244,7 @@
         rng: &mut impl Rng,
     ) -> Step<CommandOutcome> {
         if let (Stage::WriteHead { head, version }, StoreAnswer::Lost) = (&self.stage, answer) {
-            self.doubt = Some(Doubt { version: *version, revision: head.revision });
+            self.uncertain = Some(UncertainWrite { version: *version, revision: head.revision });
         }
         if now >= self.deadline {
             return self.give_up();
@@ -269,11 +269,11 @@
         }
         self.backoff.reset();
         match self.replica.absorb_head(&head) {
-            Absorbed::Gap => {
+            Applied::Gap => {
                 self.stage = Stage::ReadBase { head, version };
                 self.call()
             }
-            Absorbed::Contradiction => self.corrupt(),
+            Applied::Contradiction => self.corrupt(),
             _ => self.settle(head, version, now),
         }
     }
@@ -287,9 +287,9 @@
     ) -> Step<CommandOutcome> {
         let StoreAnswer::Found { value, .. } = answer else { return self.corrupt() };
         let Ok(doc) = parse_base(&value, head.base) else { return self.corrupt() };
-        self.replica.absorb_document(doc);
+        self.replica.apply_document(doc);
         match self.replica.absorb_head(&head) {
-            Absorbed::Gap | Absorbed::Contradiction => self.corrupt(),
+            Applied::Gap | Applied::Contradiction => self.corrupt(),
             _ => self.settle(head, version, now),
         }
     }
@@ -299,11 +299,11 @@
         if let Some(revision) = self.replica.intent().revision_of(self.operation) {
             return self.end(CommandOutcome::Accepted(revision));
         }
-        if let Some(doubt) = self.doubt.filter(|doubt| version > doubt.version) {
-            if !self.remembers(doubt.revision) {
+        if let Some(uncertain) = self.uncertain.filter(|uncertain| version > uncertain.version) {
+            if !self.remembers(uncertain.revision) {
                 return self.end(CommandOutcome::Unknown(self.operation));
             }
-            self.doubt = None;
+            self.uncertain = None;
         }
         if now >= self.deadline {
             return self.give_up();
@@ -325,7 +325,7 @@
                 self.call()
             }
             Ok(()) => self.write_head(&head, version),
-            // With a write in doubt at this version the same evaluation has succeeded before, so
+            // With an uncertain write at this version the same evaluation has succeeded before, so
             // a refusal always means that nothing was or will be written.
             Err(err) => {
                 let refused = NotAccepted::Refused(err.into());
@@ -365,7 +365,7 @@
         }
         if *answer != StoreAnswer::Conflict {
             // An answer that a write cannot have says nothing about the write.
-            self.doubt = Some(Doubt { version, revision: head.revision });
+            self.uncertain = Some(UncertainWrite { version, revision: head.revision });
         }
         self.contended = true;
         self.stage = Stage::ReadHead;
@@ -377,7 +377,7 @@
     }
 
     fn corrupt(&mut self) -> Step<CommandOutcome> {
-        match self.doubt {
+        match self.uncertain {
             Some(_) => self.end(CommandOutcome::Unknown(self.operation)),
             None => self.end(CommandOutcome::NotAccepted(NotAccepted::StoreCorrupt)),
         }
@@ -386,7 +386,7 @@
     fn give_up(&mut self) -> Step<CommandOutcome> {
         let reason =
             if self.contended { NotAccepted::Contention } else { NotAccepted::StoreUnavailable };
-        match self.doubt {
+        match self.uncertain {
             Some(_) => self.end(CommandOutcome::Unknown(self.operation)),
             None => self.end(CommandOutcome::NotAccepted(reason)),
         }
--- a/crates/fleet/src/intent/replica.rs
+++ b/crates/fleet/src/intent/replica.rs
@@ -11,7 +11,7 @@
 
 /// What became of changes or a document offered to a [`Replica`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Absorbed {
+pub enum Applied {
     /// The revision in force has grown.
     Advanced,
     /// Nothing new.
@@ -65,33 +65,30 @@
     }
 
     /// Applies the change if it is the next one.
-    pub fn absorb_change(&mut self, change: &Change) -> Absorbed {
+    pub fn apply_change(&mut self, change: &Change) -> Applied {
         if change.revision <= self.revision() {
-            return Absorbed::Nothing;
+            return Applied::Nothing;
         }
         if change.revision != self.revision().next() {
-            return Absorbed::Gap;
+            return Applied::Gap;
         }
         if Arc::make_mut(&mut self.intent).apply(change).is_err() {
-            return Absorbed::Contradiction;
+            return Applied::Contradiction;
         }
         self.tail.push_back(change.clone());
         if self.tail.len() > TAIL {
             self.tail.pop_front();
         }
-        Absorbed::Advanced
+        Applied::Advanced
     }
 
     /// Applies those of the consecutive `changes` that are new.
-    pub fn absorb_changes<'a>(
-        &mut self,
-        changes: impl IntoIterator<Item = &'a Change>,
-    ) -> Absorbed {
-        let mut result = Absorbed::Nothing;
+    pub fn apply_changes<'a>(&mut self, changes: impl IntoIterator<Item = &'a Change>) -> Applied {
+        let mut result = Applied::Nothing;
         for change in changes {
-            match self.absorb_change(change) {
-                Absorbed::Nothing => {}
-                Absorbed::Advanced => result = Absorbed::Advanced,
+            match self.apply_change(change) {
+                Applied::Nothing => {}
+                Applied::Advanced => result = Applied::Advanced,
                 stop => return stop,
             }
         }
@@ -99,32 +96,32 @@
     }
 
     /// Takes over a whole document if it is newer.
-    pub fn absorb_document(&mut self, doc: Arc<Intent>) -> Absorbed {
+    pub fn apply_document(&mut self, doc: Arc<Intent>) -> Applied {
         if doc.revision <= self.revision() {
-            return Absorbed::Nothing;
+            return Applied::Nothing;
         }
         self.intent = doc;
         self.tail.clear();
-        Absorbed::Advanced
+        Applied::Advanced
     }
 
-    /// Takes over a head of the store; [`Absorbed::Gap`] means that its base document is needed.
-    pub fn absorb_head(&mut self, head: &Head) -> Absorbed {
+    /// Takes over a head of the store; [`Applied::Gap`] means that its base document is needed.
+    pub fn absorb_head(&mut self, head: &Head) -> Applied {
         if head.revision <= self.revision() {
-            return Absorbed::Nothing;
+            return Applied::Nothing;
         }
         match head.changes_after(self.revision()) {
-            Some(changes) => self.absorb_changes(changes),
-            None => Absorbed::Gap,
+            Some(changes) => self.apply_changes(changes),
+            None => Applied::Gap,
         }
     }
 
     /// Takes over the answer of a peer.
-    pub fn absorb_push(&mut self, push: IntentPush) -> Absorbed {
+    pub fn apply_push(&mut self, push: IntentPush) -> Applied {
         match push {
-            IntentPush::Current => Absorbed::Nothing,
-            IntentPush::Changes(changes) => self.absorb_changes(&changes),
-            IntentPush::Document(doc) => self.absorb_document(Arc::new(*doc)),
+            IntentPush::Current => Applied::Nothing,
+            IntentPush::Changes(changes) => self.apply_changes(&changes),
+            IntentPush::Document(doc) => self.apply_document(Arc::new(*doc)),
         }
     }
 
--- a/crates/fleet/src/intent/watcher.rs
+++ b/crates/fleet/src/intent/watcher.rs
@@ -8,7 +8,7 @@
 use super::{
     base::{base_key, parse_base},
     head::{HEAD_KEY, Head},
-    replica::{Absorbed, Replica},
+    replica::{Applied, Replica},
 };
 use crate::store::{Backoff, CallBucket, Step, StoreAnswer, StoreCall};
 
@@ -126,14 +126,14 @@
         match (stage, answer) {
             (Stage::Base(head), StoreAnswer::Found { value, .. }) => {
                 let Ok(doc) = parse_base(&value, head.base) else { return self.corrupt(now, rng) };
-                replica.absorb_document(doc);
-                self.absorb(head, replica, now, rng)
+                replica.apply_document(doc);
+                self.apply(head, replica, now, rng)
             }
             (Stage::Base(_), StoreAnswer::Absent) => self.corrupt(now, rng),
             (_, StoreAnswer::Found { version, value }) => {
                 let Ok(head) = Head::parse(&value) else { return self.corrupt(now, rng) };
                 self.version = version;
-                self.absorb(head, replica, now, rng)
+                self.apply(head, replica, now, rng)
             }
             // Before the first command there is no head; that is the empty document.
             (_, StoreAnswer::Absent) => {
@@ -145,7 +145,7 @@
         }
     }
 
-    fn absorb(
+    fn apply(
         &mut self,
         head: Head,
         replica: &mut Replica,
@@ -153,11 +153,11 @@
         rng: &mut impl Rng,
     ) -> (Option<WatcherEvent>, Step<()>) {
         match replica.absorb_head(&head) {
-            Absorbed::Gap if head.base > replica.revision() => {
+            Applied::Gap if head.base > replica.revision() => {
                 self.stage = Stage::Base(head);
                 (None, self.wake(now))
             }
-            Absorbed::Gap | Absorbed::Contradiction => self.corrupt(now, rng),
+            Applied::Gap | Applied::Contradiction => self.corrupt(now, rng),
             _ => self.confirmed(head.revision, now),
         }
     }
--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -241,7 +241,7 @@
     network.links.loss = 0.01;
     network.run(Duration::from_secs(5));
     let mut learned = Replica::new();
-    learned.absorb_change(&sample_change());
+    learned.apply_change(&sample_change());
     network.with(0, |agent, now| agent.learned(&learned, now));
     let has_intent = |agent: &Agent| agent.replica().revision() == Revision(1);
     let intent_half = run_until(&mut network, nodes / 2, has_intent);
--- a/crates/fleet/src/membership/outage.rs
+++ b/crates/fleet/src/membership/outage.rs
@@ -52,7 +52,7 @@
         (suspects, members)
     }
 
-    /// Checks whether a zone is unreachable if suspicions or another node's word speak for it.
+    /// Checks whether a zone is unreachable if suspicions or another node's report suggest it.
     pub(super) fn consider_zone(&mut self, zone: &ZoneName, now: Instant) {
         if !self.zones.may_check(zone, now) {
             return;
@@ -60,7 +60,7 @@
         let (suspects, members) = self.zone_suspects(zone, now);
         // A node that is cut off hears silence from all zones and needs no share of any.
         let cut_off = suspects > 0 && members >= zones::MEMBERS_MIN && self.hears_few();
-        let told = self.zones.has_word(zone, now);
+        let told = self.zones.is_reported(zone, now);
         if told || cut_off || zones::needs_check(suspects, members) {
             self.check_zone(zone, now);
         }
@@ -124,15 +124,15 @@
         self.push(PUSH_FANOUT);
     }
 
-    /// Takes in another node's word that a zone is unreachable from there.
+    /// Takes in another node's report that a zone is unreachable from there.
     pub(super) fn zone_silent(&mut self, zone: &ZoneName, now: Instant) {
-        if *zone != self.local().zone && self.zones.word(zone, now) {
+        if *zone != self.local().zone && self.zones.note_report(zone, now) {
             self.rumours.add(Rumour::ZoneSilent(zone.clone()));
             self.consider_zone(zone, now);
         }
     }
 
-    /// Takes in another node's word that a zone answers again.
+    /// Takes in another node's report that a zone answers again.
     pub(super) fn zone_answers(&mut self, zone: &ZoneName, now: Instant) {
         if self.zones.hint(zone, now) {
             self.ping_zone(zone, zones::PROBE_BURST, now);
--- a/crates/fleet/src/membership/zones.rs
+++ b/crates/fleet/src/membership/zones.rs
@@ -46,7 +46,7 @@
 /// before its members count as failed.
 const PARTIAL_TIME: Duration = Duration::from_secs(5);
 
-/// Time for which another node's word that a zone is unreachable counts.
+/// Time for which another node's report that a zone is unreachable counts.
 const WORD_TIME: Duration = Duration::from_secs(30);
 
 #[derive(Clone, Debug)]
@@ -73,7 +73,7 @@
     partial_until: BTreeMap<ZoneName, Instant>,
     /// When the latest check began that a zone answered.
     answered_check: BTreeMap<ZoneName, Instant>,
-    words: BTreeMap<ZoneName, Instant>,
+    reports: BTreeMap<ZoneName, Instant>,
 }
 
 /// Returns whether a zone is to be checked: most of its members are suspect, or so many that their
@@ -148,18 +148,18 @@
         self.checks.clear();
     }
 
-    /// Notes another node's word that a zone is unreachable. Returns whether it is news.
-    pub fn word(&mut self, zone: &ZoneName, now: Instant) -> bool {
-        let news = self.may_check(zone, now) && !self.has_word(zone, now);
+    /// Notes another node's report that a zone is unreachable. Returns whether it is news.
+    pub fn note_report(&mut self, zone: &ZoneName, now: Instant) -> bool {
+        let news = self.may_check(zone, now) && !self.is_reported(zone, now);
         if news {
-            self.words.insert(zone.clone(), now);
+            self.reports.insert(zone.clone(), now);
         }
         news
     }
 
     /// Returns whether another node said lately that the zone is unreachable.
-    pub fn has_word(&self, zone: &ZoneName, now: Instant) -> bool {
-        let at = self.words.get(zone);
+    pub fn is_reported(&self, zone: &ZoneName, now: Instant) -> bool {
+        let at = self.reports.get(zone);
         at.is_some_and(|at| now.saturating_duration_since(*at) < WORD_TIME)
     }
 
@@ -177,7 +177,7 @@
     /// Notes that a zone is reachable.
     pub fn end(&mut self, zone: &ZoneName) {
         self.outages.remove(zone);
-        self.words.remove(zone);
+        self.reports.remove(zone);
     }
 
     /// Returns the zones that are to be pinged now.
--- a/crates/fleet/tests/fleet/agreement.rs
+++ b/crates/fleet/tests/fleet/agreement.rs
@@ -243,7 +243,7 @@
 
     fn take_push(&self, replica: &mut Replica, push: IntentPush) {
         if self.mutant != Mutant::ReaderTakesAnything {
-            replica.absorb_push(push);
+            replica.apply_push(push);
             return;
         }
         let mut naive = Replica::new();
@@ -254,11 +254,11 @@
                     doc.revision = Revision(change.revision.0 - 1);
                     doc.apply(&change).expect("the change applies");
                 }
-                naive.absorb_document(doc.into());
+                naive.apply_document(doc.into());
                 *replica = naive;
             }
             IntentPush::Document(doc) => {
-                naive.absorb_document((*doc).into());
+                naive.apply_document((*doc).into());
                 *replica = naive;
             }
             IntentPush::Current => {}
--- a/crates/fleet/tests/fleet/units.rs
+++ b/crates/fleet/tests/fleet/units.rs
@@ -10,7 +10,7 @@
     Output, Replica, Stale, Step, StoreAnswer, StoreCall, Watcher,
     datagram::Rumour,
     freshness::{Exchange, ISOLATION_LIMIT},
-    intent::{Absorbed, HEAD_KEY, WatcherEvent},
+    intent::{Applied, HEAD_KEY, WatcherEvent},
     measure::network::{Links, Network, record},
     membership::rumours::{Rumours, send_limit},
     store::{Backoff, CallBucket},
@@ -38,7 +38,7 @@
 fn replica(revision: u64) -> Replica {
     let mut replica = Replica::new();
     for revision in 1..=revision {
-        assert_eq!(replica.absorb_change(&change(revision)), Absorbed::Advanced);
+        assert_eq!(replica.apply_change(&change(revision)), Applied::Advanced);
     }
     replica
 }
@@ -78,11 +78,11 @@
 #[test]
 fn only_the_next_change_or_a_newer_document_is_applied() {
     let mut replica = replica(5);
-    assert_eq!(replica.absorb_change(&change(5)), Absorbed::Nothing);
-    assert_eq!(replica.absorb_change(&change(7)), Absorbed::Gap);
+    assert_eq!(replica.apply_change(&change(5)), Applied::Nothing);
+    assert_eq!(replica.apply_change(&change(7)), Applied::Gap);
     let old = Arc::new(Intent { revision: Revision(4), ..Intent::default() });
-    assert_eq!(replica.absorb_document(old), Absorbed::Nothing);
-    assert_eq!(replica.absorb_change(&change(6)), Absorbed::Advanced);
+    assert_eq!(replica.apply_document(old), Applied::Nothing);
+    assert_eq!(replica.apply_change(&change(6)), Applied::Advanced);
     assert_eq!(replica.revision(), Revision(6));
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: the services of one process beside one upstream.
 
+pub mod accept;
 pub mod burn;
 pub mod config;
 pub mod conn;
--- /dev/null
+++ b/src/node/accept.rs
@@ -0,0 +1,55 @@
+//! What the three TCP ports share: the accept loop, and counting of work in progress.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::pin,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use async_channel::Receiver;
+use async_std::{
+    net::{TcpListener, TcpStream},
+    task,
+};
+use futures_util::future::{Either, select};
+
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections and serves each in a task of its own, until the stop channel is closed.
+pub async fn accept<F: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    stop: Receiver<()>,
+    serve: impl Fn(TcpStream, SocketAddr) -> F,
+) {
+    let mut stopped = pin!(stop.recv());
+    loop {
+        let accepted = match select(pin!(listener.accept()), &mut stopped).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => drop(task::spawn(serve(stream, peer))),
+            Err(_) => task::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Counts one thing while it lasts.
+pub struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    /// Adds one to `count`, until it is dropped.
+    pub fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/node/ingress.rs
+++ b/src/node/ingress.rs
@@ -20,10 +20,7 @@
 
 use async_channel::{Receiver, Recv};
 use async_h1::server;
-use async_std::{
-    net::{TcpListener, TcpStream},
-    task,
-};
+use async_std::net::{TcpListener, TcpStream};
 use bytes::Bytes;
 use futures_util::{
     AsyncReadExt,
@@ -39,13 +36,18 @@
     route::{RouteMaker, Routes},
 };
 use crate::node::{
-    config::NodeConfig, conn::Conn, inner::client::InnerClient, keys::Keys, metrics::Metrics,
-    owner::Owner, rollout::watch::Watch, timer::Timers, view::ViewCell,
+    accept::{Counted, accept},
+    config::NodeConfig,
+    conn::Conn,
+    inner::client::InnerClient,
+    keys::Keys,
+    metrics::Metrics,
+    owner::Owner,
+    rollout::watch::Watch,
+    timer::Timers,
+    view::ViewCell,
 };
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The client port of a node.
 pub struct Ingress<C> {
     cfg: Arc<NodeConfig>,
@@ -72,22 +74,6 @@
     pub keys: Arc<Keys<C>>,
 }
 
-/// Counts one thing while it lasts.
-struct Counted<'a>(&'a AtomicUsize);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Whether a connection carries another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -139,19 +125,8 @@
 
     /// Accepts connections until the stop channel is closed.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: Receiver<()>) {
-        let mut stopped = pin!(stop.recv());
-        loop {
-            let accepted = match select(pin!(listener.accept()), &mut stopped).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => return,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    task::spawn(self.clone().connection(stream, stop.clone()));
-                }
-                Err(_) => task::sleep(ACCEPT_PAUSE).await,
-            }
-        }
+        let serve = |stream, _| self.clone().connection(stream, stop.clone());
+        accept(listener, stop.clone(), serve).await;
     }
 
     /// Returns the number of requests that are not answered yet.
--- a/src/node/ingress/keyed.rs
+++ b/src/node/ingress/keyed.rs
@@ -18,8 +18,11 @@
     message::{CallHead, ReplyHead, Role},
 };
 
-use super::{Counted, Ingress, answer::Answer, request::Asked};
-use crate::node::keys::{Decision, detached};
+use super::{Ingress, answer::Answer, request::Asked};
+use crate::node::{
+    accept::Counted,
+    keys::{Decision, detached},
+};
 
 /// Pause before the keeper of a key is looked up again.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
--- a/src/node/inner/server.rs
+++ b/src/node/inner/server.rs
@@ -32,6 +32,7 @@
     MAX_RESET_STREAMS, MAX_STREAMS, MessageError, STREAM_WINDOW, decode_frame, encode_frame, h2_io,
     prepare, read_message,
 };
+use crate::node::accept::{Counted, accept};
 
 /// Longest time for the first exchange on a connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,9 +40,6 @@
 /// Longest time in which a peer sends one message.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 type Link = Connection<Compat<TcpStream>, Bytes>;
 
 /// The inner port of a node.
@@ -51,22 +49,6 @@
     streams: AtomicUsize,
 }
 
-/// Counts one stream in work.
-struct Busy<'a>(&'a AtomicUsize);
-
-impl<'a> Busy<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
-    }
-}
-
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl<H: InnerHandler> InnerServer<H> {
     /// Creates a server; requests carry at most `body_max` bytes of body.
     pub fn new(handler: Arc<H>, body_max: usize) -> Self {
@@ -80,19 +62,8 @@
 
     /// Accepts connections until the stop channel is closed.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: Receiver<()>) {
-        let mut stopped = pin!(stop.recv());
-        loop {
-            let accepted = match select(pin!(listener.accept()), &mut stopped).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => return,
-            };
-            match accepted {
-                Ok((stream, peer)) => {
-                    task::spawn(self.clone().connection(stream, peer, stop.clone()));
-                }
-                Err(_) => task::sleep(ACCEPT_PAUSE).await,
-            }
-        }
+        let serve = |stream, peer| self.clone().connection(stream, peer, stop.clone());
+        accept(listener, stop.clone(), serve).await;
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream, peer: SocketAddr, stop: Receiver<()>) {
@@ -115,7 +86,7 @@
         request: Request<RecvStream>,
         mut respond: SendResponse<Bytes>,
     ) {
-        let _busy = Busy::new(&self.streams);
+        let _busy = Counted::new(&self.streams);
         let ended = {
             let work = pin!(self.answer(request));
             match select(work, poll_fn(|cx| respond.poll_reset(cx))).await {
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -1,13 +1,10 @@
 //! The operator port: announcements of the local upstream, health and metrics.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc};
 
 use async_channel::Receiver;
 use async_h1::server::{ConnectionStatus, Server, ServerOptions};
-use async_std::{
-    net::{TcpListener, TcpStream},
-    task,
-};
+use async_std::net::{TcpListener, TcpStream};
 use futures_util::{
     AsyncReadExt,
     future::{Either, select},
@@ -17,6 +14,7 @@
 use tide::{Request, Response, StatusCode};
 
 use crate::node::{
+    accept::accept,
     config::HEAD_MAX_BYTES,
     conn::Conn,
     metrics::Metrics,
@@ -26,9 +24,6 @@
 /// Largest announcement, in bytes.
 const ANNOUNCEMENT_MAX_BYTES: u64 = 16 << 10;
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Content type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -102,19 +97,8 @@
 
 /// Accepts connections until the stop channel is closed.
 pub async fn serve<C: Clock>(app: OperatorApp<C>, listener: TcpListener, stop: Receiver<()>) {
-    let mut stopped = pin!(stop.recv());
-    loop {
-        let accepted = match select(pin!(listener.accept()), &mut stopped).await {
-            Either::Left((accepted, _)) => accepted,
-            Either::Right(_) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                task::spawn(connection(app.clone(), stream, stop.clone()));
-            }
-            Err(_) => task::sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let serve = |stream, _| connection(app.clone(), stream, stop.clone());
+    accept(listener, stop.clone(), serve).await;
 }
 
 async fn connection<C: Clock>(app: OperatorApp<C>, stream: TcpStream, stop: Receiver<()>) {
