Give each test fleet a block of ports of its own

Cause: two scenario tests that ran at the same time failed with 'the fleet did not get ready' in one full run (383 of 385 passed). Each fleet drew 32 random ports of 20,000, so two fleets met in about one of twenty pairs, and ports also met within a fleet; nodes of both then joined each other or ended. Ruled out: slow starts (both had 20 s, and the machine was calm). Conclusion: a fleet holds the first port of its block as a lock and takes the others in order; the process tests use the same, since a port that the system gave may be taken by an outgoing connection before the node opens it.

--- a/tests/scenarios/fleet.rs
+++ b/tests/scenarios/fleet.rs
@@ -2,8 +2,7 @@
 
 use std::{
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    ops::Range,
+    net::SocketAddr,
     process::Command,
     sync::{Mutex, PoisonError},
     time::Duration,
@@ -12,14 +11,14 @@
 use async_std::{future::timeout, task};
 use oleandertiller_bench::{
     process::{Process, beside},
-    workload::Deployment,
+    workload::{Deployment, ServiceSize},
 };
 use oleandertiller_language::scenario::Scenario;
 use oleandertiller_standin::{
     Record,
     http::{Client, ClientReply},
+    ports::PortBlock,
 };
-use rand::Rng;
 use serde_json::Value;
 use tempfile::TempDir;
 
@@ -34,9 +33,6 @@
 /// Time in which a node stops after SIGTERM: the longest request and the notices to peers.
 const STOP_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Ports of the nodes, below those that systems usually give to outgoing connections.
-const PORTS: Range<u16> = 12_000..32_000;
-
 /// Executor threads of each process.
 const THREADS: usize = 2;
 
@@ -82,6 +78,7 @@
     store_admin: SocketAddr,
     store: Mutex<Option<Process>>,
     dir: TempDir,
+    _ports: PortBlock,
 }
 
 impl Fleet {
@@ -90,18 +87,18 @@
         assert_eq!(&*scenario.fleet, "tuul", "the only fleet of these tests");
         let (store, stores) =
             Process::start_standin("store", &beside("standin-store")?, &[], THREADS)?;
+        let mut ports = PortBlock::reserve();
         let mut members = Vec::new();
         for size in Deployment::Tuul.services() {
             for n in 0..size.servers {
-                let zone = Deployment::Tuul.zones()[n % 3];
                 let seed = scenario.seed as usize + members.len();
-                members.push(Member::start(size.service, n + 1, zone, size.slots, seed)?);
+                members.push(Member::start(&size, n, seed, &mut ports)?);
             }
         }
         let links = Links::start(scenario, &members, stores[0])?;
         let dir = tempfile::tempdir()?;
         let store = Mutex::new(Some(store));
-        let fleet = Self { members, links, store_admin: stores[1], store, dir };
+        let fleet = Self { members, links, store_admin: stores[1], store, dir, _ports: ports };
         for index in 0..fleet.members.len() {
             fleet.write_settings(index)?;
             fleet.start_node(index)?;
@@ -173,11 +170,18 @@
 }
 
 impl Member {
-    fn start(service: &str, n: usize, zone: &str, slots: u32, seed: usize) -> io::Result<Self> {
-        let [client, inner, gossip, operator] = std::array::from_fn(|_| free_address());
-        let name = format!("{service}-{n}");
-        let args = ["--service", service, "--announce-to", &operator.to_string()];
-        let more = ["--calls-through", &client.to_string(), "--slots", &slots.to_string()];
+    fn start(size: &ServiceSize, n: usize, seed: usize, ports: &mut PortBlock) -> io::Result<Self> {
+        let node = Addresses {
+            client: ports.next_address()?,
+            inner: ports.next_address()?,
+            gossip: ports.next_address()?,
+            operator: ports.next_address()?,
+        };
+        let (service, slots) = (size.service, size.slots);
+        let zone = Deployment::Tuul.zones()[n % 3];
+        let name = format!("{service}-{}", n + 1);
+        let args = ["--service", service, "--announce-to", &node.operator.to_string()];
+        let more = ["--calls-through", &node.client.to_string(), "--slots", &slots.to_string()];
         let last = ["--seed", &seed.to_string(), "--behaviour", BEHAVIOUR];
         let args = args.iter().chain(&more).chain(&last).map(|arg| (*arg).to_owned());
         let args: Vec<_> = args.collect();
@@ -187,7 +191,7 @@
             name,
             zone: zone.to_owned(),
             service: service.to_owned(),
-            node: Addresses { client, inner, gossip, operator },
+            node,
             upstream: addresses[0],
             process: Mutex::default(),
             upstream_process: Mutex::new(Some(upstream)),
@@ -255,18 +259,6 @@
     }
 }
 
-/// Returns a loopback address that is free for TCP and UDP. Ports that the system gives to outgoing
-/// connections are avoided: one of those could take a node's port while the node restarts.
-fn free_address() -> SocketAddr {
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 async fn call(
     address: SocketAddr,
     method: &str,
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -6,7 +6,7 @@
     fs::File,
     future::Future,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::{Duration, Instant},
@@ -16,6 +16,7 @@
 use oleandertiller_standin::{
     Record,
     http::{Client, ClientReply},
+    ports::PortBlock,
 };
 use serde_json::Value;
 use tempfile::TempDir;
@@ -77,16 +78,6 @@
     (process, words.map(|word| word.parse().unwrap()).collect())
 }
 
-/// Returns a TCP address that was free a moment ago.
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
-/// Returns a UDP address that was free a moment ago.
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// The stand-in store.
 pub struct StoreProcess {
     _process: Process,
@@ -150,9 +141,9 @@
 }
 
 impl NodeProcess {
-    fn start(plan: &Plan, store: SocketAddr, dir: &Path) -> Self {
-        let (client, inner, operator) = (free_tcp(), free_tcp(), free_tcp());
-        let gossip = free_udp();
+    fn start(plan: &Plan, store: SocketAddr, dir: &Path, ports: &mut PortBlock) -> Self {
+        let [client, inner, gossip, operator] =
+            std::array::from_fn(|_| ports.next_address().unwrap());
         let settings = dir.join(format!("{}.ini", plan.name));
         let seeds: Vec<_> = plan.seeds.iter().map(SocketAddr::to_string).collect();
         let (name, zone, service, seeds) = (plan.name, plan.zone, plan.service, seeds.join(", "));
@@ -246,6 +237,7 @@
     pub store: StoreProcess,
     pub nodes: Vec<NodeProcess>,
     dir: TempDir,
+    ports: PortBlock,
 }
 
 impl Fleet {
@@ -255,6 +247,7 @@
             store: StoreProcess::start(),
             nodes: Vec::new(),
             dir: tempfile::tempdir().unwrap(),
+            ports: PortBlock::reserve(),
         };
         for plan in plans {
             fleet.add(plan);
@@ -265,7 +258,8 @@
 
     /// Starts one more node.
     pub fn add(&mut self, plan: &Plan) {
-        let node = NodeProcess::start(plan, self.store.address, self.dir.path());
+        let (store, dir) = (self.store.address, self.dir.path());
+        let node = NodeProcess::start(plan, store, dir, &mut self.ports);
         self.nodes.push(node);
     }
 
