--- /dev/null
+++ b/crates/mesh/src/gate.rs
@@ -0,0 +1,298 @@
+//! The owner's gate: when a request is handed to the upstream beside the node.
+//!
+//! Upstreams share their machines, and at some moments all work there takes several times as long.
+//! The owner learns this from the upstream's load figures. A request that another owner could run
+//! sooner is handed back, unrun, within milliseconds; one whose ingress has found no better owner
+//! waits here, the most urgent first. The load that this answers: short bursts beyond the slots
+//! of a service, and slow moments of a part of its servers.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_model::ErrorKind;
+use serde::{Deserialize, Serialize};
+
+/// Part of the slots that is filled while other owners may have room: some upstreams slow down
+/// when they are nearly full.
+const COMFORT_PART: f64 = 0.8;
+
+/// Slowness, in percent of the usual work time, up to which a moment counts as calm.
+const CALM_PERCENT: u32 = 150;
+
+/// Age up to which a load figure tells the slowness of this moment; it changes within about
+/// 150 ms.
+pub const FIGURE_AGE: Duration = Duration::from_millis(40);
+
+/// Gain of the smoothed run time for each answer.
+const RUN_TIME_GAIN: f64 = 0.1;
+
+/// Run time that is assumed before the first answer.
+const FIRST_RUN_TIME: Duration = Duration::from_millis(200);
+
+/// Load figures of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct LoadFigures {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot there.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// How long work takes now, in percent of the usual time.
+    pub slowness: Option<u32>,
+}
+
+/// An owner's state, as it travels with each answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OwnerState {
+    /// Requests handed to the upstream and not answered yet.
+    pub running: u32,
+    /// Requests that wait at the owner.
+    pub waiting: u32,
+    /// Requests that the upstream runs at once.
+    pub slots: u32,
+    /// How long work takes now, in percent of the usual time; 100 if unknown.
+    pub slowness: u32,
+    /// Time until a slot is expected for a new request.
+    pub expected: Duration,
+}
+
+/// A request at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
+    /// When its client stops waiting.
+    pub deadline: Instant,
+    /// Until when it may wait here; now, if another owner is to be asked instead.
+    pub wait_until: Instant,
+    /// Whether it may start at a slow moment.
+    pub any_moment: bool,
+}
+
+/// Identifies a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    rank: u32,
+    number: u64,
+}
+
+/// What becomes of a request at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// Hand it to the upstream now.
+    Run,
+    /// It waits; [`Gate::next`] returns it later.
+    Wait(Ticket),
+    /// It goes back, unrun.
+    Refuse(ErrorKind),
+}
+
+/// A waiting request that is decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decided {
+    /// Hand it to the upstream now.
+    Run(Ticket),
+    /// It goes back, unrun.
+    Refuse(Ticket, ErrorKind),
+}
+
+/// Requests that a cold upstream still bears in this second.
+#[derive(Clone, Debug)]
+struct ColdRate {
+    per_second: f64,
+    until: Instant,
+    tokens: f64,
+    filled: Instant,
+}
+
+/// The gate of one upstream.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    slots: u32,
+    closed: Option<ErrorKind>,
+    cold: Option<ColdRate>,
+    running: u32,
+    figures: LoadFigures,
+    figures_at: Option<Instant>,
+    run_time: f64,
+    waiting: BTreeMap<Ticket, Ask>,
+    numbers: u64,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self {
+            slots: 0,
+            closed: Some(ErrorKind::NoUpstream),
+            cold: None,
+            running: 0,
+            figures: LoadFigures::default(),
+            figures_at: None,
+            run_time: FIRST_RUN_TIME.as_secs_f64(),
+            waiting: BTreeMap::new(),
+            numbers: 0,
+        }
+    }
+}
+
+impl Gate {
+    /// Opens the gate for an upstream with `slots`, or closes it for a reason.
+    pub fn set(&mut self, slots: u32, closed: Option<ErrorKind>) {
+        self.slots = slots;
+        self.closed = closed;
+    }
+
+    /// Limits an upstream that stays cold for `cold_for` to a rate.
+    pub fn set_cold(&mut self, cold_for: Duration, per_second: Option<f64>, now: Instant) {
+        let Some(per_second) = per_second.filter(|_| !cold_for.is_zero()) else {
+            self.cold = None;
+            return;
+        };
+        let until = now + cold_for;
+        match &mut self.cold {
+            Some(cold) => {
+                cold.until = until;
+                cold.per_second = per_second;
+            }
+            None => {
+                self.cold = Some(ColdRate { per_second, until, tokens: 1.0, filled: now });
+            }
+        }
+    }
+
+    /// Takes load figures of the upstream.
+    pub fn on_figures(&mut self, figures: LoadFigures, now: Instant) {
+        self.figures = figures;
+        self.figures_at = Some(now);
+    }
+
+    /// Returns whether the load figures are too old to tell the slowness of this moment.
+    pub fn is_blind(&self, now: Instant) -> bool {
+        self.figures_at.is_none_or(|at| now.duration_since(at) > FIGURE_AGE)
+    }
+
+    /// Decides on a request that arrives.
+    pub fn arrive(&mut self, ask: Ask, now: Instant) -> Entry {
+        if let Some(kind) = self.closed {
+            return Entry::Refuse(kind);
+        }
+        if ask.deadline <= now {
+            return Entry::Refuse(ErrorKind::DeadlineExceeded);
+        }
+        let patient = ask.wait_until > now;
+        let limit = if patient { self.slots } else { self.comfort() };
+        let first = self.waiting.keys().next().is_none_or(|ticket| ticket.rank > ask.rank);
+        let calm = ask.any_moment || self.is_calm();
+        if first && calm && self.running < limit {
+            return match self.take_cold(now) {
+                true => self.start(),
+                false if patient => self.enqueue(ask),
+                false => Entry::Refuse(ErrorKind::Cold),
+            };
+        }
+        match patient {
+            true => self.enqueue(ask),
+            false => Entry::Refuse(ErrorKind::Overloaded),
+        }
+    }
+
+    /// Decides on the next waiting request that can be decided; to be called until it returns
+    /// `None` after each event and at least once in [`FIGURE_AGE`].
+    pub fn next(&mut self, now: Instant) -> Option<Decided> {
+        let expired = self.waiting.iter().find(|(_, ask)| ask.wait_until <= now);
+        if let Some((&ticket, ask)) = expired {
+            let last_resort = ask.deadline > now && self.closed.is_none() && ask.any_moment;
+            let _ = last_resort;
+            self.waiting.remove(&ticket);
+            return Some(Decided::Refuse(ticket, self.closed.unwrap_or(ErrorKind::Overloaded)));
+        }
+        let (&ticket, &ask) = self.waiting.first_key_value()?;
+        if let Some(kind) = self.closed {
+            self.waiting.remove(&ticket);
+            return Some(Decided::Refuse(ticket, kind));
+        }
+        let calm = ask.any_moment || self.is_calm();
+        if calm && self.running < self.slots && self.take_cold(now) {
+            self.waiting.remove(&ticket);
+            self.running += 1;
+            return Some(Decided::Run(ticket));
+        }
+        None
+    }
+
+    /// Forgets a waiting request whose client has gone.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        self.waiting.remove(&ticket);
+    }
+
+    /// Gives a slot back; `run_time` is known if the upstream answered.
+    pub fn release(&mut self, run_time: Option<Duration>) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(run_time) = run_time {
+            self.run_time += (run_time.as_secs_f64() - self.run_time) * RUN_TIME_GAIN;
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the state for the ingress.
+    pub fn state(&self) -> OwnerState {
+        let ahead = (self.running as usize + self.waiting.len() + 1) as f64;
+        let slots = f64::from(self.slots.max(1));
+        let rounds = ((ahead - slots) / slots).max(0.0);
+        OwnerState {
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            slots: self.slots,
+            slowness: self.figures.slowness.unwrap_or(100),
+            expected: Duration::from_secs_f64(self.run_time * rounds),
+        }
+    }
+
+    fn comfort(&self) -> u32 {
+        ((f64::from(self.slots) * COMFORT_PART) as u32).max(1)
+    }
+
+    fn is_calm(&self) -> bool {
+        self.figures.slowness.is_none_or(|percent| percent <= CALM_PERCENT)
+    }
+
+    fn start(&mut self) -> Entry {
+        self.running += 1;
+        Entry::Run
+    }
+
+    fn enqueue(&mut self, ask: Ask) -> Entry {
+        self.numbers += 1;
+        let ticket = Ticket { rank: ask.rank, number: self.numbers };
+        self.waiting.insert(ticket, ask);
+        Entry::Wait(ticket)
+    }
+
+    /// Takes one of the requests that a cold upstream bears; always succeeds for a warm one.
+    fn take_cold(&mut self, now: Instant) -> bool {
+        let Some(cold) = &mut self.cold else { return true };
+        if now >= cold.until {
+            self.cold = None;
+            return true;
+        }
+        let gained = now.duration_since(cold.filled).as_secs_f64() * cold.per_second;
+        cold.tokens = (cold.tokens + gained).min(cold.per_second.max(1.0) / 2.0);
+        cold.filled = now;
+        if cold.tokens < 1.0 {
+            return false;
+        }
+        cold.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of a mesh node, which serves the clients of its own instance and owns the upstream
+//! beside it. Every part takes its inputs and the time, and holds neither sockets nor clocks.
+//!
+//! - [`config`]: the operators' configuration and which route a request takes.
+//! - [`members`]: which instances exist, also while the store is away.
+//! - [`upstream`]: what the upstream beside the node says of itself.
+//! - [`gate`]: when the owner hands a request to its upstream, queues it, or hands it back.
+//! - [`placement`]: in which order an ingress asks the owners.
+//! - [`budget`]: how many repeats this node may send.
+//! - [`rollout`]: which versions may serve, and whether a new version is good.
+//! - [`returns`]: when a refused client should come back.
+
+pub mod budget;
+pub mod config;
+pub mod gate;
+pub mod members;
+pub mod placement;
+pub mod returns;
+pub mod rollout;
+pub mod upstream;
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 pub mod check;
 mod client;
 pub mod demo;
+pub mod mesh;
 pub mod node;
 pub mod report;
 
@@ -34,6 +35,7 @@
 #[argh(subcommand)]
 enum Command {
     Node(node::Node),
+    Mesh(mesh::Mesh),
     Check(check::Check),
     Ask(ask::Ask),
     Report(report::Report),
@@ -57,6 +59,7 @@
     }
     match args.command {
         Some(Command::Node(node)) => node.run(),
+        Some(Command::Mesh(mesh)) => mesh.run(),
         Some(Command::Check(check)) => check.run(),
         Some(Command::Ask(ask)) => ask.run(),
         Some(Command::Report(report)) => report.run(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 #[cfg(feature = "demo")]
 pub mod demo;
 pub mod kernel;
+pub mod mesh;
 pub mod node;
 pub mod report;
 pub mod settings;
--- /dev/null
+++ b/src/mesh/daemon.rs
@@ -0,0 +1,321 @@
+//! A whole mesh node from its settings, and its planned stop.
+
+use std::{
+    io,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant, UNIX_EPOCH},
+};
+
+use async_channel::{Sender, bounded};
+use async_std::{net::TcpListener, task};
+use bytes::Bytes;
+use oleandertiller_mesh::{budget::BudgetConfig, config::Config, members::Record};
+use oleandertiller_model::{
+    Clock, ServiceName, SystemClock, codec,
+    message::{CallHead, ReplyHead},
+};
+
+use super::{
+    control::ControlPort,
+    ingress::Ingress,
+    message::{EVIDENCE_PATH, OFFER_PATH, Offer},
+    metrics::Metrics,
+    owner::{Owner, OwnerConfig},
+    register::Register,
+    state::World,
+    store::Store,
+    sync::Sync,
+};
+use crate::{
+    node::{
+        inner::{ControlHandler, client::InnerClient, server::InnerServer},
+        timer::Timers,
+    },
+    settings::mesh::MeshSettings,
+};
+
+/// Longest wait for a connection to another node: a few round trips between zones, and the wait
+/// for a processor share there.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest body of an answer, in bytes: what fits into a message between nodes.
+const ANSWER_MAX_BYTES: usize = 1 << 20;
+
+/// Part of the allowed health checks that is used.
+const HEALTH_PART: f64 = 0.6;
+
+/// Time after the request to stop for which new requests are still served: the platform notices
+/// within two questions, a second apart, that the node is not ready.
+const STOP_SERVING: Duration = Duration::from_millis(2_600);
+
+/// Time before the kill at which the process ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time between two looks at whether the work has ended.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+/// Time between two looks at which records have lapsed.
+const EXPIRE_LOOK: Duration = Duration::from_millis(500);
+
+/// What the services of one node share.
+pub struct Shared<C: Clock> {
+    /// Settings.
+    pub settings: MeshSettings,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Clock.
+    pub clock: C,
+    /// Timers.
+    pub timers: Timers,
+    /// The way to the upstream beside the node.
+    pub owner: Arc<Owner<C>>,
+    /// Connections to other nodes.
+    pub client: InnerClient<C>,
+    /// The platform's store.
+    pub store: Store<C>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Whether the process has been asked to stop.
+    pub stopping: AtomicBool,
+    /// Requests of clients that are not answered yet.
+    pub active: AtomicUsize,
+    world: Arc<Mutex<World>>,
+    changed: Sender<()>,
+    rewrite: AtomicBool,
+    recorded: Mutex<Option<Record>>,
+}
+
+impl<C: Clock> Shared<C> {
+    /// Returns what the node knows of the deployment.
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        self.world.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.world().config.as_ref().map(|(_, cfg)| cfg.clone())
+    }
+
+    /// Returns the service of the upstream beside the node.
+    pub fn caller(&self) -> ServiceName {
+        let known = self.owner.known().map(|known| known.service);
+        known.unwrap_or_else(|| self.settings.node.service.clone())
+    }
+
+    /// Returns whether a service may be the one of the upstream beside the node.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        match self.config() {
+            Some(cfg) => cfg.services.contains_key(service),
+            None => *service == self.settings.node.service,
+        }
+    }
+
+    /// Looks again at what follows from what the node knows.
+    pub fn review(&self) {
+        self.owner.review();
+        self.changed();
+    }
+
+    /// Has the register compare the record with the one in the store.
+    pub fn changed(&self) {
+        // A full channel has the register look anyway.
+        let _ = self.changed.try_send(());
+    }
+
+    /// Has the register write the record again.
+    pub fn rewrite(&self) {
+        self.rewrite.store(true, Ordering::Relaxed);
+        self.changed();
+    }
+
+    /// Returns whether the record is to be written again, once.
+    pub fn take_rewrite(&self) -> bool {
+        self.rewrite.swap(false, Ordering::Relaxed)
+    }
+
+    /// Returns the node's record as it should stand in the store.
+    pub fn record(&self) -> Record {
+        Record {
+            node: self.settings.node.name.clone(),
+            incarnation: self.incarnation,
+            inner: self.settings.listen.inner,
+            zone: self.settings.node.zone.clone(),
+            stopping: self.stopping.load(Ordering::Relaxed),
+            upstream: self.owner.known().map(|mut known| {
+                // What changes with each announcement is not worth a write.
+                known.sequence = 0;
+                known.cold_for = Duration::ZERO;
+                known
+            }),
+        }
+    }
+
+    /// Returns whether the store holds the record as it is now.
+    pub fn is_recorded(&self) -> bool {
+        self.recorded().as_ref() == Some(&self.record())
+    }
+
+    /// Takes note of the record that the store holds.
+    pub fn set_recorded(&self, record: &Record) {
+        *self.recorded() = Some(record.clone());
+    }
+
+    fn recorded(&self) -> MutexGuard<'_, Option<Record>> {
+        self.recorded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over what an earlier process of this node knew of an upstream that was leaving.
+    pub fn inherit(&self, record: &Record) {
+        use oleandertiller_mesh::upstream::Stage;
+        let leaving = record.upstream.as_ref().filter(|u| u.stage != Stage::Serving);
+        if let Some(upstream) = leaving.filter(|_| self.owner.known().is_none()) {
+            self.owner.hear(upstream.clone());
+        }
+    }
+}
+
+/// Answers the calls of other nodes.
+struct Peers<C: Clock>(Arc<Shared<C>>);
+
+impl<C: Clock> crate::node::inner::InnerHandler for Peers<C> {
+    async fn call(&self, _head: CallHead, _body: Bytes) -> Option<(ReplyHead, Bytes)> {
+        None
+    }
+
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        ControlHandler::control(self, path, body).await
+    }
+}
+
+impl<C: Clock> ControlHandler for Peers<C> {
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        match path {
+            OFFER_PATH => {
+                let offer: Offer = codec::decode(&body).ok()?;
+                let _active = crate::node::accept::Counted::new(&self.0.active);
+                Some(codec::encode(&self.0.owner.offer(&offer).await))
+            }
+            EVIDENCE_PATH => Some(codec::encode(&self.0.owner.evidence())),
+            _ => None,
+        }
+    }
+}
+
+/// A running mesh node.
+pub struct Daemon {
+    shared: Arc<Shared<SystemClock>>,
+    stop_ports: Sender<()>,
+    stop_register: Sender<()>,
+    register: task::JoinHandle<()>,
+}
+
+impl Daemon {
+    /// Opens all ports and starts the services.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when a port cannot be opened.
+    pub async fn start(settings: MeshSettings) -> io::Result<Self> {
+        let clock = SystemClock;
+        let timers = Timers::default();
+        task::spawn(timers.clone().drive(clock));
+        let (changed_tx, changed) = bounded(1);
+        let shared = Arc::new(shared(settings, clock, timers, changed_tx.clone()));
+        let listen = shared.settings.listen.clone();
+        let (stop_ports, stop) = bounded::<()>(1);
+        let inner = TcpListener::bind(listen.inner).await?;
+        let server = Arc::new(InnerServer::new(Arc::new(Peers(shared.clone())), ANSWER_MAX_BYTES));
+        task::spawn(server.serve(inner, stop.clone()));
+        let control = Arc::new(ControlPort::new(shared.clone()));
+        for address in [listen.control, listen.ready, listen.metrics] {
+            let listener = TcpListener::bind(address).await?;
+            task::spawn(control.clone().serve(listener, stop.clone()));
+        }
+        let ingress = TcpListener::bind(listen.ingress).await?;
+        task::spawn(Arc::new(Ingress::new(shared.clone())).serve(ingress, stop.clone()));
+        task::spawn(Sync::new(shared.clone()).run());
+        let register = task::spawn(Register::new(shared.clone()).run(changed));
+        task::spawn(expire(shared.clone()));
+        Ok(Self { shared, stop_ports, stop_register: changed_tx, register })
+    }
+
+    /// Stops gracefully: serves until the platform has taken the node out, then finishes the
+    /// requests in flight.
+    pub async fn stop(self) {
+        let Self { shared, stop_ports, stop_register, register } = self;
+        let asked = shared.clock.now();
+        let end = asked + Duration::from_secs_f64(shared.settings.terms.stop_seconds) - STOP_MARGIN;
+        shared.stopping.store(true, Ordering::Relaxed);
+        shared.changed();
+        let serve_until = (asked + STOP_SERVING).min(end);
+        shared.timers.at(serve_until).await;
+        shared.owner.stop();
+        while shared.active.load(Ordering::Relaxed) > 0 && shared.clock.now() < end {
+            shared.timers.at(shared.clock.now() + STOP_LOOK).await;
+        }
+        stop_ports.close();
+        stop_register.close();
+        let left = end.saturating_duration_since(shared.clock.now());
+        let _ = async_std::future::timeout(left, register).await;
+        shared.client.disconnect();
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn active(&self) -> usize {
+        self.shared.active.load(Ordering::Relaxed)
+    }
+}
+
+fn shared<C: Clock>(
+    settings: MeshSettings,
+    clock: C,
+    timers: Timers,
+    changed: Sender<()>,
+) -> Shared<C> {
+    let terms = &settings.terms;
+    let budget = BudgetConfig {
+        ratio: terms.retry_ratio,
+        extra: terms.retry_extra,
+        window: terms.retry_window,
+    };
+    let health_gap = 1.0 / (terms.probes_per_second * HEALTH_PART).max(0.1);
+    let owner_cfg = OwnerConfig {
+        node: settings.node.name.clone(),
+        zone: settings.node.zone.clone(),
+        health_gap: Duration::from_secs_f64(health_gap),
+        body_max: ANSWER_MAX_BYTES,
+    };
+    let world = Arc::new(Mutex::new(World::new(budget)));
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Shared {
+        incarnation: started.as_millis() as u64,
+        owner: Arc::new(Owner::new(owner_cfg, clock.clone(), timers.clone(), world.clone())),
+        client: InnerClient::new(clock.clone(), timers.clone(), PEER_CONNECT_TIMEOUT, ANSWER_MAX_BYTES),
+        store: Store::new(settings.store.address, clock.clone()),
+        metrics: Metrics::default(),
+        stopping: AtomicBool::new(false),
+        active: AtomicUsize::new(0),
+        rewrite: AtomicBool::new(false),
+        recorded: Mutex::new(None),
+        settings,
+        clock,
+        timers,
+        world,
+        changed,
+    }
+}
+
+/// Drops the records of nodes that are taken as gone.
+async fn expire<C: Clock>(shared: Arc<Shared<C>>) {
+    loop {
+        let now: Instant = shared.clock.now();
+        for record in shared.world().expire(now) {
+            log::info!(peer = record.node.as_str(), incarnation = record.incarnation;
+                "node is taken as gone");
+        }
+        shared.timers.at(now + EXPIRE_LOOK).await;
+    }
+}
--- /dev/null
+++ b/src/mesh/http.rs
@@ -0,0 +1,503 @@
+//! HTTP/1.1 messages on one connection, read strictly.
+//!
+//! Whatever follows a message stays in the buffer, so that bytes that belong to no message are
+//! noticed. A body is read whole before it is passed on.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use async_std::net::TcpStream;
+use futures_util::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use serde::{Deserialize, Serialize};
+use socket2::{SockRef, TcpKeepalive};
+
+/// Headers of one message that are parsed; a message with more is refused.
+const MAX_HEADERS: usize = 96;
+
+/// Input read at once, in bytes.
+const READ_BYTES: usize = 16 << 10;
+
+/// Input kept ahead of the message that is read, in bytes.
+const AHEAD_BYTES: usize = 64 << 10;
+
+/// Largest line that announces a chunk, in bytes.
+const CHUNK_LINE_BYTES: usize = 256;
+
+/// Most bytes of trailers after a chunked body.
+const TRAILER_BYTES: usize = 8 << 10;
+
+/// Time without an acknowledgement of sent bytes after which a connection counts as broken. A path
+/// that loses packets for less than this only delays.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Idle time after which the system asks the other end whether it is alive.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a message could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpError {
+    /// The connection ended where a message could have begun.
+    Closed,
+    /// The connection broke or ended within a message.
+    Broken,
+    /// The bytes are no message.
+    Malformed,
+    /// The head is over its limit.
+    HeadTooLarge,
+    /// The body is over its limit.
+    BodyTooLarge,
+}
+
+impl From<io::Error> for HttpError {
+    fn from(_: io::Error) -> Self {
+        Self::Broken
+    }
+}
+
+/// Headers in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Headers(Vec<(String, Vec<u8>)>);
+
+impl Headers {
+    /// Returns the first value of a header as text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let (_, value) = self.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(value).ok().map(str::trim)
+    }
+
+    /// Returns all values of a header as text.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let found = self.0.iter().filter(move |(known, _)| known.eq_ignore_ascii_case(name));
+        found.filter_map(|(_, value)| std::str::from_utf8(value).ok().map(str::trim))
+    }
+
+    /// Sets a header, whatever it was.
+    pub fn set(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+        self.remove(name);
+        self.0.push((name.to_owned(), value.into()));
+    }
+
+    /// Removes a header.
+    pub fn remove(&mut self, name: &str) {
+        self.0.retain(|(known, _)| !known.eq_ignore_ascii_case(name));
+    }
+
+    /// Removes the headers that concern one connection only, with those that `Connection` names.
+    pub fn remove_hop_by_hop(&mut self) {
+        let named: Vec<String> = self
+            .all("connection")
+            .flat_map(|value| value.split(','))
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        self.0.retain(|(name, _)| {
+            let name = name.to_ascii_lowercase();
+            !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(&name)
+        });
+    }
+
+    /// Returns whether a comma-separated header holds a word.
+    pub fn has_word(&self, name: &str, word: &str) -> bool {
+        let mut words = self.all(name).flat_map(|value| value.split(','));
+        words.any(|found| found.trim().eq_ignore_ascii_case(word))
+    }
+
+    fn push_to(&self, buf: &mut Vec<u8>) {
+        for (name, value) in &self.0 {
+            buf.extend_from_slice(name.as_bytes());
+            buf.extend_from_slice(b": ");
+            buf.extend_from_slice(value);
+            buf.extend_from_slice(b"\r\n");
+        }
+    }
+
+    fn from_parsed(parsed: &[httparse::Header<'_>]) -> Self {
+        let pair = |h: &httparse::Header<'_>| (h.name.to_owned(), h.value.to_vec());
+        Self(parsed.iter().map(pair).collect())
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query as they were sent.
+    pub target: String,
+    /// Headers.
+    pub headers: Headers,
+    /// Whether the client wants the connection closed after the answer.
+    pub close: bool,
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Headers,
+    /// Whether the connection ends after this answer.
+    pub close: bool,
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length, in bytes.
+    Length(u64),
+    /// By an empty chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// A connection that carries messages one after the other.
+pub struct HttpConn {
+    stream: TcpStream,
+    buf: Vec<u8>,
+    used: usize,
+}
+
+/// Prepares a socket: no delay of small writes, and dead paths are noticed.
+///
+/// # Errors
+///
+/// Returns the system's error when an option cannot be set.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_AFTER)
+        .with_interval(KEEPALIVE_AFTER)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))
+}
+
+impl HttpConn {
+    /// Wraps an open connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when its options cannot be set.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        prepare(&stream)?;
+        Ok(Self { stream, buf: Vec::new(), used: 0 })
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when it cannot be opened.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        Self::new(TcpStream::connect(address).await?)
+    }
+
+    /// Returns whether an idle connection is open and has no input.
+    pub fn is_idle_and_open(&self) -> bool {
+        self.used == self.buf.len() && self.stream.peek(&mut [0]).now_or_never().is_none()
+    }
+
+    /// Returns whether bytes are at hand that belong to no message read so far.
+    pub fn has_input(&self) -> bool {
+        self.used < self.buf.len()
+    }
+
+    /// Waits until input is at hand; returns `false` at the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the connection is broken.
+    pub async fn wait_input(&mut self) -> io::Result<bool> {
+        Ok(self.has_input() || self.fill().await? > 0)
+    }
+
+    /// Ends when the other side has closed or broken the connection.
+    pub async fn gone(&mut self) {
+        while self.buf.len() - self.used < AHEAD_BYTES {
+            if !matches!(self.fill().await, Ok(1..)) {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads the head of a request of at most `max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError`] when there is none.
+    pub async fn read_request(&mut self, max: usize) -> Result<RequestHead, HttpError> {
+        loop {
+            if let Some((head, len)) = parse_request(&self.buf[self.used..])? {
+                self.used += len;
+                return if len > max { Err(HttpError::HeadTooLarge) } else { Ok(head) };
+            }
+            self.more_head(max).await?;
+        }
+    }
+
+    /// Reads the head of an answer; interim answers are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError`] when there is none.
+    pub async fn read_response(&mut self, max: usize) -> Result<ResponseHead, HttpError> {
+        loop {
+            match parse_response(&self.buf[self.used..])? {
+                Some((head, len)) => {
+                    self.used += len;
+                    if !(100..200).contains(&head.status) {
+                        return Ok(head);
+                    }
+                }
+                None => self.more_head(max).await?,
+            }
+        }
+    }
+
+    async fn more_head(&mut self, max: usize) -> Result<(), HttpError> {
+        let started = self.has_input();
+        if self.buf.len() - self.used > max {
+            return Err(HttpError::HeadTooLarge);
+        }
+        match self.fill().await {
+            Ok(1..) => Ok(()),
+            Ok(0) if !started => Err(HttpError::Closed),
+            _ => Err(HttpError::Broken),
+        }
+    }
+
+    /// Reads a whole body of at most `max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError`] when it is not whole.
+    pub async fn read_body(&mut self, framing: Framing, max: usize) -> Result<Vec<u8>, HttpError> {
+        match framing {
+            Framing::Length(len) if len > max as u64 => Err(HttpError::BodyTooLarge),
+            Framing::Length(len) => self.take(len as usize).await,
+            Framing::Chunked => self.read_chunks(max).await,
+            Framing::UntilClose => {
+                while self.fill().await? > 0 {
+                    if self.buf.len() - self.used > max {
+                        return Err(HttpError::BodyTooLarge);
+                    }
+                }
+                let rest = self.buf.len() - self.used;
+                self.take(rest).await
+            }
+        }
+    }
+
+    async fn read_chunks(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
+        let mut body = Vec::new();
+        loop {
+            let line = self.line(CHUNK_LINE_BYTES).await?;
+            let size = line.split(|b| *b == b';').next().unwrap_or_default();
+            let size = std::str::from_utf8(size).map_err(|_| HttpError::Malformed)?.trim();
+            if size.is_empty() || !size.bytes().all(|b| b.is_ascii_hexdigit()) {
+                return Err(HttpError::Malformed);
+            }
+            let size = usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)?;
+            if size > max - body.len() {
+                return Err(HttpError::BodyTooLarge);
+            }
+            if size == 0 {
+                break;
+            }
+            body.extend_from_slice(&self.take(size).await?);
+            if self.take(2).await? != b"\r\n" {
+                return Err(HttpError::Malformed);
+            }
+        }
+        while !self.line(TRAILER_BYTES).await?.is_empty() {}
+        Ok(body)
+    }
+
+    /// Reads a line without its end.
+    async fn line(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
+        loop {
+            let input = &self.buf[self.used..];
+            if let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") {
+                let line = input[..end].to_vec();
+                self.used += end + 2;
+                return Ok(line);
+            }
+            if input.len() > max {
+                return Err(HttpError::Malformed);
+            }
+            if self.fill().await? == 0 {
+                return Err(HttpError::Broken);
+            }
+        }
+    }
+
+    async fn take(&mut self, len: usize) -> Result<Vec<u8>, HttpError> {
+        while self.buf.len() - self.used < len {
+            if self.fill().await? == 0 {
+                return Err(HttpError::Broken);
+            }
+        }
+        let bytes = self.buf[self.used..self.used + len].to_vec();
+        self.used += len;
+        Ok(bytes)
+    }
+
+    /// Reads more input; returns the number of bytes, 0 at the end.
+    async fn fill(&mut self) -> io::Result<usize> {
+        if self.used > 0 {
+            self.buf.drain(..self.used);
+            self.used = 0;
+        }
+        let len = self.buf.len();
+        self.buf.resize(len + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buf[len..]).await;
+        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
+        read
+    }
+
+    /// Writes bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the connection is broken.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Returns another handle to the socket, for writing while an answer is read.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Ends the output, so that the other side reads what was written before the close.
+    pub fn finish(&self) {
+        // A connection that is broken already needs no end.
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+/// Writes the head of a request followed by its body.
+pub fn encode_request(method: &str, target: &str, headers: &Headers, body: &[u8]) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(512 + body.len());
+    buf.extend_from_slice(method.as_bytes());
+    buf.push(b' ');
+    buf.extend_from_slice(target.as_bytes());
+    buf.extend_from_slice(b" HTTP/1.1\r\n");
+    headers.push_to(&mut buf);
+    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE") {
+        buf.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    buf.extend_from_slice(b"\r\n");
+    buf.extend_from_slice(body);
+    buf
+}
+
+/// Writes an answer with its body.
+pub fn encode_response(status: u16, headers: &Headers, body: &[u8], close: bool) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(512 + body.len());
+    let reason = http::StatusCode::from_u16(status).ok().and_then(|code| code.canonical_reason());
+    buf.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason.unwrap_or("-")).as_bytes());
+    headers.push_to(&mut buf);
+    if close {
+        buf.extend_from_slice(b"Connection: close\r\n");
+    }
+    if !matches!(status, 204 | 304) {
+        buf.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    buf.extend_from_slice(b"\r\n");
+    buf.extend_from_slice(body);
+    buf
+}
+
+/// Returns how the end of a request's body is told.
+///
+/// # Errors
+///
+/// Returns [`HttpError::Malformed`] when it is ambiguous.
+pub fn request_framing(headers: &Headers) -> Result<Framing, HttpError> {
+    let length = content_length(headers)?;
+    match (headers.get("transfer-encoding"), length) {
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (Some(_), _) => Err(HttpError::Malformed),
+        (None, length) => Ok(Framing::Length(length.unwrap_or(0))),
+    }
+}
+
+/// Returns how the end of an answer's body is told.
+///
+/// # Errors
+///
+/// Returns [`HttpError::Malformed`] when it is ambiguous.
+pub fn response_framing(status: u16, headers: &Headers) -> Result<Framing, HttpError> {
+    if matches!(status, 204 | 304) {
+        return Ok(Framing::Length(0));
+    }
+    let length = content_length(headers)?;
+    match (headers.get("transfer-encoding"), length) {
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (Some(_), _) => Err(HttpError::Malformed),
+        (None, Some(length)) => Ok(Framing::Length(length)),
+        (None, None) => Ok(Framing::UntilClose),
+    }
+}
+
+fn content_length(headers: &Headers) -> Result<Option<u64>, HttpError> {
+    let mut lengths = headers.all("content-length");
+    let Some(first) = lengths.next() else { return Ok(None) };
+    if lengths.any(|other| other != first) || !first.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(HttpError::Malformed);
+    }
+    first.parse().map(Some).map_err(|_| HttpError::Malformed)
+}
+
+fn parse_request(buf: &[u8]) -> Result<Option<(RequestHead, usize)>, HttpError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let len = match request.parse(buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+        Err(_) => return Err(HttpError::Malformed),
+    };
+    let (Some(method), Some(target)) = (request.method, request.path) else {
+        return Err(HttpError::Malformed);
+    };
+    let old = request.version == Some(0);
+    let headers = Headers::from_parsed(request.headers);
+    let close = headers.has_word("connection", "close")
+        || old && !headers.has_word("connection", "keep-alive");
+    Ok(Some((RequestHead { method: method.into(), target: target.into(), headers, close }, len)))
+}
+
+fn parse_response(buf: &[u8]) -> Result<Option<(ResponseHead, usize)>, HttpError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let len = match response.parse(buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(HttpError::Malformed),
+    };
+    let status = response.code.ok_or(HttpError::Malformed)?;
+    let old = response.version == Some(0);
+    let headers = Headers::from_parsed(response.headers);
+    let close = headers.has_word("connection", "close")
+        || old && !headers.has_word("connection", "keep-alive");
+    Ok(Some((ResponseHead { status, headers, close }, len)))
+}
--- /dev/null
+++ b/src/mesh/register.rs
@@ -0,0 +1,129 @@
+//! The node's own record in the store, under a lease.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Receiver;
+use oleandertiller_mesh::members::Record;
+use oleandertiller_model::Clock;
+use oleandertiller_platform::store::{Answer, Call, Transaction};
+
+use super::daemon::Shared;
+
+/// Start of the keys of records; the node's name follows.
+pub const RECORD_PREFIX: &str = "mesh/nodes/";
+
+/// Renewals in the life of a lease.
+const RENEWALS: u32 = 4;
+
+/// Pause after a call that failed: entries are to be back within two seconds of the store's return.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Keeps the record.
+pub struct Register<C: Clock> {
+    shared: Arc<Shared<C>>,
+    lease: Option<u64>,
+    written: Option<Record>,
+    failing: bool,
+}
+
+impl<C: Clock> Register<C> {
+    /// Creates a register that has written nothing.
+    pub fn new(shared: Arc<Shared<C>>) -> Self {
+        Self { shared, lease: None, written: None, failing: false }
+    }
+
+    /// Keeps the record until the channel is closed, then removes it. A message on the channel says
+    /// that something may have changed.
+    pub async fn run(mut self, changed: Receiver<()>) {
+        let life = self.shared.settings.store.lease.max(self.shared.settings.store.shortest_lease);
+        let mut renew_at = self.shared.clock.now();
+        loop {
+            let now = self.shared.clock.now();
+            let kept = match now >= renew_at {
+                true => {
+                    renew_at = now + life / RENEWALS;
+                    self.renew(life).await && self.write().await
+                }
+                false => self.write().await,
+            };
+            self.note(kept);
+            if !kept {
+                renew_at = self.shared.clock.now() + FAILURE_PAUSE;
+            }
+            match self.shared.timers.within(renew_at, changed.recv()).await {
+                Some(Err(_)) => return self.end().await,
+                Some(Ok(())) if !kept => self.shared.timers.at(renew_at).await,
+                _ => {}
+            }
+        }
+    }
+
+    fn note(&mut self, kept: bool) {
+        if kept == self.failing {
+            self.failing = !kept;
+            let event = if kept { "store keeps the record" } else { "store does not keep the record" };
+            log::warn!(dependency = "store", kept = kept; "{event}");
+        }
+    }
+
+    /// Renews the lease or gets one; returns whether there is one.
+    async fn renew(&mut self, life: Duration) -> bool {
+        if let Some(lease) = self.lease {
+            match self.shared.store.call(&Call::Renew { lease }).await {
+                Ok(Answer::Leased { .. }) => return true,
+                Ok(Answer::NoLease) => {
+                    log::info!(lease = lease; "lease has ended");
+                    self.lease = None;
+                    self.written = None;
+                }
+                _ => return false,
+            }
+        }
+        match self.shared.store.call(&Call::Grant { ttl: life }).await {
+            Ok(Answer::Leased { lease: Some(lease), .. }) => self.lease = Some(lease),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Writes the record if it has changed; returns whether the store holds it.
+    async fn write(&mut self) -> bool {
+        let Some(lease) = self.lease else { return false };
+        if self.shared.take_rewrite() {
+            self.written = None;
+        }
+        let record = self.shared.record();
+        if self.written.as_ref() == Some(&record) {
+            return true;
+        }
+        let key = format!("{RECORD_PREFIX}{}", record.node);
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(error:% = error; "record cannot be written as JSON");
+                return false;
+            }
+        };
+        let transaction =
+            Transaction { writes: vec![(key, value, lease)], ..Transaction::default() };
+        match self.shared.store.call(&Call::Write(transaction)).await {
+            Ok(Answer::Written { .. }) => {
+                self.shared.set_recorded(&record);
+                self.written = Some(record);
+                true
+            }
+            Ok(Answer::NoLease) => {
+                self.lease = None;
+                false
+            }
+            _ => false,
+        }
+    }
+
+    async fn end(self) {
+        if let Some(lease) = self.lease {
+            // The lease would end by itself; the process ends in any case.
+            let _ = self.shared.store.call(&Call::End { lease }).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/mesh/state.rs
@@ -0,0 +1,172 @@
+//! What one node knows of the deployment.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_mesh::{
+    budget::{BudgetConfig, RetryBudget},
+    config::Config,
+    gate::OwnerState,
+    members::{Member, Members, Record},
+    placement::Candidate,
+    rollout::{Admission, Plan},
+    upstream::Stage,
+};
+use oleandertiller_model::{NodeName, ServiceName, VersionName, ZoneName};
+use oleandertiller_platform::rollout::Order;
+
+/// An order of the operators, as heard.
+#[derive(Clone, Debug)]
+pub struct HeardOrder {
+    /// The order.
+    pub order: Order,
+    /// Revision of its key.
+    pub revision: u64,
+    /// When this node heard it.
+    pub at: Instant,
+}
+
+/// What one node knows of the deployment.
+#[derive(Debug)]
+pub struct World {
+    /// The configuration in force and the revision of its key.
+    pub config: Option<(u64, Arc<Config>)>,
+    /// The other nodes, and this one.
+    pub members: Members,
+    /// Zones that are out of service.
+    pub evacuated: BTreeMap<ZoneName, u64>,
+    /// Rollout orders by service.
+    pub orders: BTreeMap<ServiceName, HeardOrder>,
+    /// Rollouts by service, with the revision of their key.
+    pub plans: BTreeMap<ServiceName, (u64, Plan)>,
+    /// Who leads a rollout: the revision of the key, and the node.
+    pub leaders: BTreeMap<ServiceName, (u64, NodeName)>,
+    states: HashMap<NodeName, (OwnerState, Instant)>,
+    sent: HashMap<NodeName, u32>,
+    budgets: HashMap<ServiceName, RetryBudget>,
+    budget: BudgetConfig,
+}
+
+impl World {
+    /// Creates a world of which nothing is known.
+    pub fn new(budget: BudgetConfig) -> Self {
+        Self {
+            config: None,
+            members: Members::default(),
+            evacuated: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            states: HashMap::new(),
+            sent: HashMap::new(),
+            budgets: HashMap::new(),
+            budget,
+        }
+    }
+
+    /// Returns which versions of a service may serve.
+    pub fn admission(&self, service: &ServiceName) -> Admission {
+        let plan = self.plans.get(service).map(|(_, plan)| plan);
+        let order = self.orders.get(service);
+        Admission::of(plan, order.map(|heard| (heard.revision, &heard.order.version)))
+    }
+
+    /// Returns whether a zone takes requests.
+    pub fn is_in(&self, zone: &ZoneName) -> bool {
+        !self.evacuated.contains_key(zone)
+    }
+
+    /// Returns the owners of a service that may be asked, with their records.
+    pub fn owners(&self, service: &ServiceName, now: Instant) -> Vec<(Candidate, Arc<Record>)> {
+        let admission = self.admission(service);
+        let usable = |member: &&Member| {
+            let Some(upstream) = &member.record.upstream else { return false };
+            upstream.service == *service
+                && upstream.stage == Stage::Serving
+                && !member.record.stopping
+                && admission.admits(&upstream.version)
+                && self.is_in(&member.record.zone)
+                && member.is_reachable(now)
+        };
+        let members = self.members.iter().filter(usable);
+        members.map(|member| (self.candidate(member), member.record.clone())).collect()
+    }
+
+    fn candidate(&self, member: &Member) -> Candidate {
+        let node = &member.record.node;
+        Candidate {
+            node: node.clone(),
+            zone: member.record.zone.clone(),
+            state: self.states.get(node).copied(),
+            sent: self.sent.get(node).copied().unwrap_or(0),
+            tried: member.is_tried(),
+        }
+    }
+
+    /// Takes note that a request is on its way to an owner.
+    pub fn on_sent(&mut self, node: &NodeName) {
+        self.members.on_sent(node);
+        *self.sent.entry(node.clone()).or_default() += 1;
+    }
+
+    /// Takes note that a request has come back.
+    pub fn on_back(&mut self, node: &NodeName) {
+        if let Some(sent) = self.sent.get_mut(node) {
+            *sent = sent.saturating_sub(1);
+        }
+    }
+
+    /// Takes the state that an owner has told with an answer.
+    pub fn on_state(&mut self, node: &NodeName, state: OwnerState, now: Instant) {
+        self.members.on_answer(node, now);
+        self.states.insert(node.clone(), (state, now));
+    }
+
+    /// Credits a client's request to the budget of repeats.
+    pub fn on_request(&mut self, service: &ServiceName, now: Instant) {
+        self.budget(service).on_request(now);
+    }
+
+    /// Takes a repeat out of the budget.
+    pub fn take_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let nodes = self.members.most();
+        // Until the other nodes are known, the fixed part of the budget cannot be divided.
+        nodes > 0 && self.budget(service).try_take(nodes, now)
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let cfg = self.budget;
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg))
+    }
+
+    /// Returns the versions of a service that serve, by number of upstreams.
+    pub fn versions(&self, service: &ServiceName) -> BTreeMap<VersionName, usize> {
+        let mut versions = BTreeMap::new();
+        for member in self.members.iter() {
+            let upstream = member.record.upstream.as_ref();
+            let serving = upstream.filter(|u| u.service == *service && u.stage == Stage::Serving);
+            if let Some(upstream) = serving {
+                *versions.entry(upstream.version.clone()).or_default() += 1;
+            }
+        }
+        versions
+    }
+
+    /// Returns the rate that a cold upstream of a service bears.
+    pub fn cold_rate(&self, service: &ServiceName) -> Option<f64> {
+        self.config.as_ref()?.1.services.get(service)?.cold_per_second
+    }
+
+    /// Returns the time for which a record that vanished is kept, at least.
+    pub fn expire(&mut self, now: Instant) -> Vec<Arc<Record>> {
+        self.members.expire(now)
+    }
+}
+
+/// Time left until `at`.
+pub fn left(at: Instant, now: Instant) -> Duration {
+    at.saturating_duration_since(now)
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -126,12 +126,12 @@
 }
 
 impl<C: Clock, K: ControlHandler> InnerHandler for NodeHandler<C, K> {
-    async fn call(&self, head: CallHead, body: Bytes) -> (ReplyHead, Bytes) {
+    async fn call(&self, head: CallHead, body: Bytes) -> Option<(ReplyHead, Bytes)> {
         let deadline = self.clock.now() + head.remaining.min(MAX_REMAINING);
         if head.role == Role::Keeper {
-            return self.ingress.answer_as_keeper(head, deadline, body).await;
+            return Some(self.ingress.answer_as_keeper(head, deadline, body).await);
         }
-        self.owner.run(&head, deadline, &body).await
+        Some(self.owner.run(&head, deadline, &body).await)
     }
 
     async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
--- a/src/node/inner.rs
+++ b/src/node/inner.rs
@@ -45,8 +45,12 @@
 
 /// What answers calls and transfers on the inner port.
 pub trait InnerHandler: Send + Sync + 'static {
-    /// Runs a call.
-    fn call(&self, head: CallHead, body: Bytes) -> impl Future<Output = (ReplyHead, Bytes)> + Send;
+    /// Runs a call; `None` when the node takes none.
+    fn call(
+        &self,
+        head: CallHead,
+        body: Bytes,
+    ) -> impl Future<Output = Option<(ReplyHead, Bytes)>> + Send;
 
     /// Answers a message of the control services; `None` when there is no such path.
     fn control(&self, path: &str, body: Bytes) -> impl Future<Output = Option<Vec<u8>>> + Send;
--- a/src/node/inner/client.rs
+++ b/src/node/inner/client.rs
@@ -161,6 +161,30 @@
         timeout(wait, work).await.unwrap_or(Err(ErrorKind::UpstreamTimeout))
     }
 
+    /// Sends a message and waits for its answer until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended when no answer arrived.
+    pub async fn request(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        message: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<Bytes, Outcome> {
+        let until = deadline.min(self.clock.now() + self.connect_timeout);
+        let peer = self.peer(address);
+        let link = self.timers.within(until, self.link(&peer, address)).await.flatten();
+        let Link { number, sender } = link.ok_or(Outcome::NotRun(ErrorKind::ConnectFailed))?;
+        let work = send(sender, uri(path), message.into(), Bytes::new(), CONTROL_MAX_BYTES);
+        let answer = self.timers.within(deadline + DEADLINE_GRACE, work).await;
+        answer.unwrap_or_else(|| {
+            peer.forget(number);
+            Err(Outcome::Unknown(ErrorKind::UpstreamTimeout))
+        })
+    }
+
     /// Closes all connections once their calls have ended.
     pub fn disconnect(&self) {
         self.peers.write().unwrap_or_else(PoisonError::into_inner).clear();
--- a/src/node/inner/server.rs
+++ b/src/node/inner/server.rs
@@ -117,7 +117,8 @@
 
     async fn call(&self, message: Bytes) -> Result<(Bytes, Bytes), Reason> {
         let (head, body) = decode_frame(message).map_err(refusal)?;
-        let (reply, body) = self.handler.call(head, body).await;
+        let answer = self.handler.call(head, body).await;
+        let (reply, body) = answer.ok_or(Reason::REFUSED_STREAM)?;
         let (frame, inline) = encode_frame(&reply, &body);
         Ok((frame, if inline { Bytes::new() } else { body }))
     }
--- a/src/node/timer.rs
+++ b/src/node/timer.rs
@@ -12,11 +12,19 @@
     time::{Duration, Instant},
 };
 
-use futures_util::future::{Either, select};
+use async_std::future::timeout;
+use futures_util::{
+    future::{Either, poll_fn, select},
+    task::AtomicWaker,
+};
+use oleandertiller_model::Clock;
 
 /// Time between two rounds, and so the error of a timer.
 pub const TICK: Duration = Duration::from_millis(5);
 
+/// Longest sleep of [`Timers::drive`] while no timer is set.
+const IDLE_SLEEP: Duration = Duration::from_secs(10);
+
 type Key = (Instant, u64);
 
 #[derive(Default)]
@@ -27,7 +35,11 @@
 
 /// All timers of a node.
 #[derive(Clone, Default)]
-pub struct Timers(Arc<Mutex<Entries>>);
+pub struct Timers {
+    entries: Arc<Mutex<Entries>>,
+    /// Woken when the earliest timer has become earlier.
+    earlier: Arc<AtomicWaker>,
+}
 
 impl Timers {
     /// Creates a timer that ends at `at`.
@@ -53,8 +65,33 @@
         due.into_values().for_each(Waker::wake);
     }
 
+    /// Fires timers when they are due, to [`TICK`], and sleeps in between: a process with little
+    /// to do is hardly woken.
+    pub async fn drive<C: Clock>(self, clock: C) {
+        loop {
+            let earliest = self.earliest();
+            let sleep = match earliest {
+                Some(at) => at.saturating_duration_since(clock.now()).max(TICK),
+                None => IDLE_SLEEP,
+            };
+            let rearmed = poll_fn(|cx| {
+                self.earlier.register(cx.waker());
+                let at = self.earliest();
+                let sooner = at.is_some_and(|at| earliest.is_none_or(|known| at < known));
+                if sooner { Poll::Ready(()) } else { Poll::Pending }
+            });
+            // Either way the timers that are due by now are fired.
+            let _ = timeout(sleep, rearmed).await;
+            self.fire(clock.now());
+        }
+    }
+
+    fn earliest(&self) -> Option<Instant> {
+        self.lock().wakers.first_key_value().map(|((at, _), _)| *at)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Entries> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -75,7 +112,12 @@
             let key = (self.at, entries.next);
             entries.next += 1;
             entries.wakers.insert(key, cx.waker().clone());
+            let first = entries.wakers.first_key_value().is_some_and(|(first, _)| *first == key);
+            drop(entries);
             self.key = Some(key);
+            if first {
+                timers.earlier.wake();
+            }
             return Poll::Pending;
         };
         match entries.wakers.get_mut(&key) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 
 pub mod error;
 pub mod guide;
+pub mod mesh;
 mod reader;
 mod source;
 pub mod table;
@@ -81,7 +82,7 @@
     ///
     /// Returns every error of the text, in the order of its lines.
     pub fn read(text: &str) -> Result<Self, Vec<SettingsError>> {
-        let mut reader = Reader::new(Source::read(text));
+        let mut reader = Reader::new(Source::read(text), table::KEYS);
         let settings = Self::read_sections(&mut reader);
         let errors = reader.finish();
         match settings {
--- /dev/null
+++ b/src/settings/mesh.rs
@@ -0,0 +1,117 @@
+//! Settings of a mesh node. [`KEYS`] declares every key once, as [`super::table`] does for nodes.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use log::LevelFilter;
+use oleandertiller_model::{NodeName, ServiceName, ZoneName};
+
+use super::{
+    LoadError, SettingsError,
+    reader::Reader,
+    source::Source,
+    table::{number, settings},
+    value::{Allowed, LEVELS},
+};
+
+settings! {
+    /// The node itself.
+    "node" => MeshNodeSettings {
+        "name", name: NodeName, None, Allowed::Name, "Name of the node, unique in the fleet.";
+        "zone", zone: ZoneName, None, Allowed::Name, "Availability zone.";
+        "service", service: ServiceName, None, Allowed::Name,
+            "Service of the upstream beside the node.";
+        "upstream", upstream: SocketAddr, None, Allowed::ReachableAddress,
+            "Address of the upstream beside the node.";
+        "threads", threads: u32, Some("1"), number(1, 64, ""), "Threads of the executor.";
+        "memory-mb", memory_mb: u32, Some("256"), number(16, 1_048_576, ""),
+            "Memory that the process may use, in megabytes; a part of it holds bodies.";
+    }
+    /// Sockets.
+    "listen" => MeshListenSettings {
+        "ingress", ingress: SocketAddr, None, Allowed::Address,
+            "Requests of the clients and the upstream of this instance, HTTP/1.1.";
+        "inner", inner: SocketAddr, None, Allowed::ReachableAddress, "Calls from other nodes.";
+        "ready", ready: SocketAddr, None, Allowed::Address, "Whether the node takes clients.";
+        "control", control: SocketAddr, None, Allowed::Address,
+            "Announcements of the upstream beside the node.";
+        "metrics", metrics: SocketAddr, None, Allowed::Address,
+            "Counters and histograms as OpenMetrics text.";
+    }
+    /// The platform's key-value store.
+    "store" => MeshStoreSettings {
+        "address", address: SocketAddr, None, Allowed::ReachableAddress, "Address of the store.";
+        "lease-ms", lease: Duration, Some("3000"), number(1_000, 600_000, "ms"),
+            "Life of the node's record without a renewal.";
+        "shortest-lease-ms", shortest_lease: Duration, Some("1000"), number(1, 600_000, "ms"),
+            "Shortest lease that the store grants.";
+    }
+    /// What operators have agreed on with the users.
+    "terms" => MeshTerms {
+        "stop-s", stop_seconds: f64, Some("6"), Allowed::Decimal { max: 3_600 },
+            "Seconds between the request to stop and the kill.";
+        "retry-ratio", retry_ratio: f64, Some("0.2"), Allowed::Decimal { max: 10 },
+            "Repeats for each request, over the fleet and one window.";
+        "retry-extra", retry_extra: f64, Some("50"), Allowed::Decimal { max: 1_000_000 },
+            "Repeats in one window on top, over the fleet.";
+        "retry-window-s", retry_window: Duration, Some("10"), number(1, 3_600, "s"),
+            "Length of the sliding window of the retry budget.";
+        "probes-per-s", probes_per_second: f64, Some("60"), Allowed::Decimal { max: 100_000 },
+            "Most health checks a second of one upstream.";
+    }
+    /// Log lines.
+    "log" => MeshLogSettings {
+        "level", level: LevelFilter, Some("info"), Allowed::OneOf(LEVELS),
+            "Least severe level that is logged.";
+    }
+}
+
+/// All settings of a mesh node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MeshSettings {
+    /// Section `[node]`.
+    pub node: MeshNodeSettings,
+    /// Section `[listen]`.
+    pub listen: MeshListenSettings,
+    /// Section `[store]`.
+    pub store: MeshStoreSettings,
+    /// Section `[terms]`.
+    pub terms: MeshTerms,
+    /// Section `[log]`.
+    pub log: MeshLogSettings,
+}
+
+impl MeshSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LoadError`] with every error of the file.
+    pub fn load(path: &Path) -> Result<Self, LoadError> {
+        let text = fs::read_to_string(path).map_err(LoadError::Io)?;
+        Self::read(&text).map_err(LoadError::Settings)
+    }
+
+    /// Reads and checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every error of the text, in the order of its lines.
+    pub fn read(text: &str) -> Result<Self, Vec<SettingsError>> {
+        let mut reader = Reader::new(Source::read(text), KEYS);
+        // Every section is read before the first `?`, so that all errors are found.
+        let node = MeshNodeSettings::read(&mut reader);
+        let listen = MeshListenSettings::read(&mut reader);
+        let store = MeshStoreSettings::read(&mut reader);
+        let terms = MeshTerms::read(&mut reader);
+        let log = MeshLogSettings::read(&mut reader);
+        let errors = reader.finish();
+        match (node, listen, store, terms, log) {
+            (Some(node), Some(listen), Some(store), Some(terms), Some(log))
+                if errors.is_empty() =>
+            {
+                Ok(Self { node, listen, store, terms, log })
+            }
+            _ => Err(errors),
+        }
+    }
+}
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -9,20 +9,22 @@
     error::{Problem, SettingsError},
     join,
     source::{Entry, Source},
-    table::{KEYS, KIND_PREFIX, Key, OPERATORS, SERVICE_PREFIX},
+    table::{KIND_PREFIX, Key, OPERATORS, SERVICE_PREFIX},
     token::{Operator, TOKEN_MIN_CHARS, Token},
     value::{Allowed, Setting},
 };
 
 pub(super) struct Reader {
     source: Source,
+    keys: &'static [Key],
     errors: Vec<SettingsError>,
 }
 
 impl Reader {
-    /// Takes a file and checks that its lines, sections and keys are known and not repeated.
-    pub(super) fn new(source: Source) -> Self {
-        let mut reader = Self { source, errors: Vec::new() };
+    /// Takes a file and checks that its lines are readable, and that its sections and `keys` are
+    /// known and not repeated.
+    pub(super) fn new(source: Source, keys: &'static [Key]) -> Self {
+        let mut reader = Self { source, keys, errors: Vec::new() };
         reader.check_lines();
         reader.check_sections();
         reader.check_keys();
@@ -46,7 +48,7 @@
 
     /// Returns the value of a key of the table, or its default.
     pub(super) fn value<T: Setting>(&mut self, section: &str, name: &str) -> Option<T> {
-        let key = KEYS.iter().find(|key| key.section == section && key.name == name)?;
+        let key = self.keys.iter().find(|key| key.section == section && key.name == name)?;
         let Some(entry) = self.entry(section, name) else {
             if key.default.is_none() {
                 self.report_missing(key);
@@ -190,8 +192,8 @@
 
     fn check_sections(&mut self) {
         for (section, line) in &self.source.sections {
-            if !is_known_section(section) {
-                let known = sections();
+            if !is_known_section(self.keys, section) {
+                let known = sections(self.keys);
                 let allowed = format!("{}, service NAME", join(known.iter().copied()));
                 let mut error = section_error(section, *line, Problem::UnknownSection, &allowed);
                 error.suggestion = nearest(section, known).map(str::to_owned);
@@ -204,10 +206,10 @@
         let mut first = HashMap::new();
         for entry in &self.source.entries {
             // The section itself is reported; its keys would only repeat that.
-            if !is_known_section(&entry.section) && !entry.section.is_empty() {
+            if !is_known_section(self.keys, &entry.section) && !entry.section.is_empty() {
                 continue;
             }
-            if let Some(error) = unknown_key(entry) {
+            if let Some(error) = unknown_key(self.keys, entry) {
                 self.errors.push(error);
                 continue;
             }
@@ -251,18 +253,18 @@
     section.strip_prefix(SERVICE_PREFIX).map(str::trim)
 }
 
-fn sections() -> Vec<&'static str> {
-    let mut sections: Vec<_> = KEYS.iter().map(|key| key.section).collect();
+fn sections(keys: &[Key]) -> Vec<&'static str> {
+    let mut sections: Vec<_> = keys.iter().map(|key| key.section).collect();
     sections.dedup();
     sections.push(OPERATORS);
     sections
 }
 
-fn is_known_section(section: &str) -> bool {
-    service_of(section).is_some() || sections().contains(&section)
+fn is_known_section(keys: &[Key], section: &str) -> bool {
+    service_of(section).is_some() || sections(keys).contains(&section)
 }
 
-fn unknown_key(entry: &Entry) -> Option<SettingsError> {
+fn unknown_key(keys: &[Key], entry: &Entry) -> Option<SettingsError> {
     if entry.section == OPERATORS {
         return None;
     }
@@ -271,7 +273,7 @@
         let allowed = "kind NAME".to_owned();
         return (!known).then(|| entry_error(entry, Problem::UnknownKey, allowed));
     }
-    let keys = || KEYS.iter().filter(|key| key.section == entry.section).map(|key| key.name);
+    let keys = || keys.iter().filter(|key| key.section == entry.section).map(|key| key.name);
     if keys().any(|key| key == entry.key) {
         return None;
     }
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -7,7 +7,6 @@
 use oleandertiller_routing::{limit::Reserve, selection::Policy};
 
 use super::{
-    reader::Reader,
     value::{Allowed, FORMATS, LEVELS, LogFormat, POLICIES, RESERVES, Share},
 };
 
@@ -35,11 +34,11 @@
     pub doc: &'static str,
 }
 
-const fn number(min: u64, max: u64, unit: &'static str) -> Allowed {
+pub(super) const fn number(min: u64, max: u64, unit: &'static str) -> Allowed {
     Allowed::Number { min, max, unit }
 }
 
-const fn percent(max_ppm: u32) -> Allowed {
+pub(super) const fn percent(max_ppm: u32) -> Allowed {
     Allowed::Percent { max_ppm }
 }
 
@@ -48,7 +47,7 @@
         $($key:literal, $field:ident: $type:ty, $default:expr, $allowed:expr, $text:literal;)*
     })*) => {
         /// All keys, by section.
-        pub const KEYS: &[Key] = &[$($(Key {
+        pub const KEYS: &[$crate::settings::table::Key] = &[$($($crate::settings::table::Key {
             section: $section,
             name: $key,
             default: $default,
@@ -64,7 +63,7 @@
             }
 
             impl $group {
-                pub(super) fn read(reader: &mut Reader) -> Option<Self> {
+                pub(super) fn read(reader: &mut $crate::settings::reader::Reader) -> Option<Self> {
                     // Every key is read before the first `?`, so that all errors are found.
                     $(let $field: Option<$type> = reader.value($section, $key);)*
                     Some(Self { $($field: $field?,)* })
@@ -74,6 +73,8 @@
     };
 }
 
+pub(super) use settings;
+
 settings! {
     /// The node itself.
     "node" => NodeSettings {
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -34,6 +34,11 @@
         /// Most.
         max_ppm: u32,
     },
+    /// A decimal number up to a maximum.
+    Decimal {
+        /// Most.
+        max: u32,
+    },
     /// One of these words.
     OneOf(&'static [&'static str]),
 }
@@ -59,6 +64,7 @@
             Self::Percent { max_ppm } => {
                 format!("a share from 0% to {}", print_percent(*max_ppm))
             }
+            Self::Decimal { max } => format!("a number from 0 to {max}"),
             Self::OneOf(words) => format!("one of `{}`", words.join("`, `")),
         }
     }
@@ -133,6 +139,13 @@
     }
 }
 
+impl Setting for f64 {
+    fn parse(text: &str, allowed: &Allowed) -> Option<Self> {
+        let Allowed::Decimal { max } = allowed else { return None };
+        text.parse().ok().filter(|number| (0.0..=Self::from(*max)).contains(number))
+    }
+}
+
 /// A share in parts per million.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share(pub u32);
