Lead rollouts, give silent watches up, refuse clients before the kill

A call that goes unanswered now puts the store in doubt, which ends the watch; while in doubt, watches are short. Half way through the time to stop, clients are told to come back.

--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -67,6 +67,7 @@
                 Self::Without(version.clone())
             }
             (Some(plan), _) => match plan.phase {
+                Phase::Running if plan.share >= 1.0 => Self::Only(plan.version.clone()),
                 Phase::Running => Self::Share(plan.version.clone(), plan.share),
                 Phase::Completed => Self::Only(plan.version.clone()),
                 Phase::RolledBack => Self::Without(plan.version.clone()),
@@ -306,6 +307,9 @@
     if part >= COMPLETE_AT && new_serves && (answers >= FEWEST_ANSWERS || part >= END_AT) {
         return Step::Complete;
     }
+    if plan.share >= 1.0 && !new_serves {
+        return Step::Share(STEPS[0].1);
+    }
     let due = STEPS.iter().rev().find(|(from, _)| part >= *from).map_or(0.0, |(_, share)| *share);
     match due > plan.share && new_serves {
         true => Step::Share(due),
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -100,8 +100,8 @@
     /// when the message did not name it.
     pub fn leave(&mut self, id: &str, born: Option<u64>) -> bool {
         let Some(known) = &mut self.known else { return false };
-        let same = &*known.incarnation.id == id
-            && born.is_none_or(|born| born >= known.incarnation.born);
+        let same =
+            &*known.incarnation.id == id && born.is_none_or(|born| born >= known.incarnation.born);
         if same {
             known.stage = Stage::Gone;
         }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod owner;
 pub mod register;
+pub mod rollout;
 pub mod state;
 pub mod store;
 pub mod sync;
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -90,7 +90,9 @@
         const JSON: &str = "application/json";
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
-            ("GET", READY_PATH) => (if self.shared.is_ready() { 200 } else { 503 }, JSON, "{}".into()),
+            ("GET", READY_PATH) => {
+                (if self.shared.is_ready() { 200 } else { 503 }, JSON, "{}".into())
+            }
             ("GET", METRICS_PATH) => {
                 let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
                 (200, kind, self.shared.metrics.encode())
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -1,6 +1,7 @@
 //! A whole mesh node from its settings, and its planned stop.
 
 use std::{
+    collections::BTreeMap,
     io,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -12,6 +13,7 @@
 use async_channel::{Sender, bounded};
 use async_std::{net::TcpListener, task};
 use bytes::Bytes;
+use event_listener::Event;
 use oleandertiller_mesh::{budget::BudgetConfig, config::Config, members::Record};
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -25,6 +27,7 @@
     metrics::Metrics,
     owner::{Owner, OwnerConfig},
     register::Register,
+    rollout::Rollouts,
     state::World,
     store::Store,
     sync::Sync,
@@ -47,9 +50,17 @@
 /// Part of the allowed health checks that is used.
 const HEALTH_PART: f64 = 0.6;
 
-/// Time after the request to stop for which new requests are still served: the platform notices
-/// within two questions, a second apart, that the node is not ready.
-const STOP_SERVING: Duration = Duration::from_millis(2_600);
+/// Time after the request to stop for which the owner takes requests of other nodes, and after
+/// which the process ends once it has nothing to do: the platform notices within two questions, a
+/// second apart, that the node is not ready.
+const STOP_OWNING: Duration = Duration::from_millis(2_600);
+
+/// Part of the time to stop after which clients are refused: those that have not gone elsewhere by
+/// then would be cut off by the kill.
+const STOP_SERVING_PART: f64 = 0.5;
+
+/// Longest time for the last call to the store.
+const STOP_STORE: Duration = Duration::from_millis(150);
 
 /// Time before the kill at which the process ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
@@ -80,12 +91,17 @@
     pub metrics: Metrics,
     /// Whether the process has been asked to stop.
     pub stopping: AtomicBool,
-    /// Requests of clients that are not answered yet.
+    /// Whether requests of clients are refused, because the process is about to end.
+    pub refusing: AtomicBool,
+    /// Requests that are not answered yet.
     pub active: AtomicUsize,
     world: Arc<Mutex<World>>,
     changed: Sender<()>,
     rewrite: AtomicBool,
     recorded: Mutex<Option<Record>>,
+    lease: Mutex<Option<u64>>,
+    leads: Mutex<BTreeMap<ServiceName, u64>>,
+    doubts: Event,
 }
 
 impl<C: Clock> Shared<C> {
@@ -163,6 +179,42 @@
         *self.recorded() = Some(record.clone());
     }
 
+    /// Returns the lease of the node's record.
+    pub fn lease(&self) -> Option<u64> {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the lease of the node's record.
+    pub fn set_lease(&self, lease: Option<u64>) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
+    }
+
+    /// Returns the revision with which this process took the lead of a service's rollouts.
+    pub fn leads_since(&self, service: &ServiceName) -> Option<u64> {
+        self.leads.lock().unwrap_or_else(PoisonError::into_inner).get(service).copied()
+    }
+
+    /// Sets the revision with which this process took the lead of a service's rollouts.
+    pub fn set_leads_since(&self, service: &ServiceName, revision: u64) {
+        let mut leads = self.leads.lock().unwrap_or_else(PoisonError::into_inner);
+        leads.insert(service.clone(), revision);
+    }
+
+    /// Returns whether the process has been asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Says that the store did not answer a call, so that a watch that waits is in doubt.
+    pub fn doubt_store(&self) {
+        self.doubts.notify(usize::MAX);
+    }
+
+    /// Waits until a call to the store has failed.
+    pub async fn store_doubted(&self) {
+        self.doubts.listen().await;
+    }
+
     fn recorded(&self) -> MutexGuard<'_, Option<Record>> {
         self.recorded.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -237,6 +289,7 @@
         let ingress = TcpListener::bind(listen.ingress).await?;
         task::spawn(Arc::new(Ingress::new(shared.clone())).serve(ingress, stop.clone()));
         task::spawn(Sync::new(shared.clone()).run());
+        task::spawn(Rollouts::new(shared.clone()).run());
         let register = task::spawn(Register::new(shared.clone()).run(changed));
         task::spawn(expire(shared.clone()));
         Ok(Self { shared, stop_ports, stop_register: changed_tx, register })
@@ -247,19 +300,23 @@
     pub async fn stop(self) {
         let Self { shared, stop_ports, stop_register, register } = self;
         let asked = shared.clock.now();
-        let end = asked + Duration::from_secs_f64(shared.settings.terms.stop_seconds) - STOP_MARGIN;
+        let time = Duration::from_secs_f64(shared.settings.terms.stop_seconds);
+        let end = asked + time.saturating_sub(STOP_MARGIN);
         shared.stopping.store(true, Ordering::Relaxed);
         shared.changed();
-        let serve_until = (asked + STOP_SERVING).min(end);
-        shared.timers.at(serve_until).await;
+        shared.timers.at((asked + STOP_OWNING).min(end)).await;
         shared.owner.stop();
+        let refuse_at = asked + time.mul_f64(STOP_SERVING_PART);
         while shared.active.load(Ordering::Relaxed) > 0 && shared.clock.now() < end {
+            let refusing = shared.clock.now() >= refuse_at;
+            shared.refusing.store(refusing, Ordering::Relaxed);
             shared.timers.at(shared.clock.now() + STOP_LOOK).await;
         }
+        shared.refusing.store(true, Ordering::Relaxed);
         stop_ports.close();
         stop_register.close();
-        let left = end.saturating_duration_since(shared.clock.now());
-        let _ = async_std::future::timeout(left, register).await;
+        // The record's lease ends by itself if this call does not come through.
+        let _ = async_std::future::timeout(STOP_STORE, register).await;
         shared.client.disconnect();
     }
 
@@ -293,12 +350,21 @@
     Shared {
         incarnation: started.as_millis() as u64,
         owner: Arc::new(Owner::new(owner_cfg, clock.clone(), timers.clone(), world.clone())),
-        client: InnerClient::new(clock.clone(), timers.clone(), PEER_CONNECT_TIMEOUT, ANSWER_MAX_BYTES),
+        client: InnerClient::new(
+            clock.clone(),
+            timers.clone(),
+            PEER_CONNECT_TIMEOUT,
+            ANSWER_MAX_BYTES,
+        ),
         store: Store::new(settings.store.address, clock.clone()),
         metrics: Metrics::default(),
         stopping: AtomicBool::new(false),
+        refusing: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         rewrite: AtomicBool::new(false),
+        lease: Mutex::new(None),
+        leads: Mutex::default(),
+        doubts: Event::new(),
         recorded: Mutex::new(None),
         settings,
         clock,
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,12 +3,13 @@
 //! Whatever follows a message stays in the buffer, so that bytes that belong to no message are
 //! noticed. A body is read whole before it is passed on.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr};
 
 use async_std::net::TcpStream;
 use futures_util::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use serde::{Deserialize, Serialize};
-use socket2::{SockRef, TcpKeepalive};
+
+use crate::node::inner::prepare;
 
 /// Headers of one message that are parsed; a message with more is refused.
 const MAX_HEADERS: usize = 96;
@@ -25,13 +26,6 @@
 /// Most bytes of trailers after a chunked body.
 const TRAILER_BYTES: usize = 8 << 10;
 
-/// Time without an acknowledgement of sent bytes after which a connection counts as broken. A path
-/// that loses packets for less than this only delays.
-const SILENCE: Duration = Duration::from_millis(1_500);
-
-/// Idle time after which the system asks the other end whether it is alive.
-const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
-
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -172,22 +166,6 @@
     used: usize,
 }
 
-/// Prepares a socket: no delay of small writes, and dead paths are noticed.
-///
-/// # Errors
-///
-/// Returns the system's error when an option cannot be set.
-pub fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_AFTER)
-        .with_interval(KEEPALIVE_AFTER)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(SILENCE))
-}
-
 impl HttpConn {
     /// Wraps an open connection.
     ///
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -163,6 +163,9 @@
             Some(Err(_)) => return Next::Close,
             None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
         };
+        if self.shared.refusing.load(Ordering::Relaxed) {
+            return self.refuse_unread(conn, ErrorKind::Draining).await;
+        }
         let close = head.close;
         let caller = self.shared.caller();
         let asked = Asked::read(head, body, arrived, self.shared.config().as_deref(), &caller);
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -151,10 +151,8 @@
                 break last.unwrap_or_else(|| unreachable_failure());
             }
         };
-        let result = result.map_err(|failure| Failure {
-            not_run: failure.not_run && !tried.ran,
-            ..failure
-        });
+        let result =
+            result.map_err(|failure| Failure { not_run: failure.not_run && !tried.ran, ..failure });
         Outcome { result, deadline: Some(asked.deadline), hops: tried.hops }
     }
 
@@ -288,7 +286,8 @@
             }
         }
         drop(world);
-        let mut candidates: Vec<_> = owners.iter().map(|(candidate, _)| candidate.clone()).collect();
+        let mut candidates: Vec<_> =
+            owners.iter().map(|(candidate, _)| candidate.clone()).collect();
         order(&mut candidates, &settings.name, &settings.zone, now, &mut rand::rng());
         let record = |node: &NodeName| {
             owners.iter().find(|(candidate, _)| candidate.node == *node).map(|(_, r)| r.clone())
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -79,7 +79,9 @@
         let checked = match (id, found, named.transpose()) {
             (Some(id), Ok(route), Ok(named)) if path.starts_with('/') => {
                 let service = route.pick(rand::random()).cloned();
-                service.map(|service| (id, route.clone(), service, named)).ok_or(ErrorKind::NoUpstream)
+                service
+                    .map(|service| (id, route.clone(), service, named))
+                    .ok_or(ErrorKind::NoUpstream)
             }
             (None, ..) | (_, Ok(_), Ok(_)) => Err(ErrorKind::BadRequest),
             (_, Err(kind), _) | (.., Err(kind)) => Err(kind),
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -54,8 +54,7 @@
     /// Counts a request that ended at the ingress.
     pub fn count(&self, route: &str, status: u16, reason: &str, ms: u64) {
         let route = self.label(route);
-        let labels =
-            RequestLabels { route: route.clone(), status, reason: reason.to_owned() };
+        let labels = RequestLabels { route: route.clone(), status, reason: reason.to_owned() };
         self.requests.get_or_create(&labels).inc();
         self.times.get_or_create(&RouteLabels { route }).observe(ms as f64 / 1_000.0);
     }
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -218,9 +218,8 @@
 
     async fn decide(&self, offer: &Offer, deadline: Instant) -> End {
         let not_run = |why| End::NotRun { why, arrived: false };
-        let fits = |known: &Announcement| {
-            known.service == offer.service && known.version == offer.version
-        };
+        let fits =
+            |known: &Announcement| known.service == offer.service && known.version == offer.version;
         if offer.node != self.cfg.node || !self.lock().upstream.known().is_some_and(fits) {
             return not_run(ErrorKind::NoUpstream);
         }
@@ -272,7 +271,8 @@
                 Decided::Run(ticket) => (ticket, Ok(())),
                 Decided::Refuse(ticket, why) => (ticket, Err(why)),
             };
-            let told = inner.waiters.remove(&ticket).is_some_and(|tx| tx.try_send(decision).is_ok());
+            let told =
+                inner.waiters.remove(&ticket).is_some_and(|tx| tx.try_send(decision).is_ok());
             if !told && decision.is_ok() {
                 inner.gate.release(None);
             }
--- a/src/mesh/register.rs
+++ b/src/mesh/register.rs
@@ -61,7 +61,8 @@
     fn note(&mut self, kept: bool) {
         if kept == self.failing {
             self.failing = !kept;
-            let event = if kept { "store keeps the record" } else { "store does not keep the record" };
+            let event =
+                if kept { "store keeps the record" } else { "store does not keep the record" };
             log::warn!(dependency = "store", kept = kept; "{event}");
         }
     }
@@ -73,14 +74,18 @@
                 Ok(Answer::Leased { .. }) => return true,
                 Ok(Answer::NoLease) => {
                     log::info!(lease = lease; "lease has ended");
-                    self.lease = None;
+                    self.set_lease(None);
                     self.written = None;
                 }
-                _ => return false,
+                Ok(_) => return false,
+                Err(_) => {
+                    self.shared.doubt_store();
+                    return false;
+                }
             }
         }
         match self.shared.store.call(&Call::Grant { ttl: life }).await {
-            Ok(Answer::Leased { lease: Some(lease), .. }) => self.lease = Some(lease),
+            Ok(Answer::Leased { lease: Some(lease), .. }) => self.set_lease(Some(lease)),
             _ => return false,
         }
         true
@@ -113,13 +118,18 @@
                 true
             }
             Ok(Answer::NoLease) => {
-                self.lease = None;
+                self.set_lease(None);
                 false
             }
             _ => false,
         }
     }
 
+    fn set_lease(&mut self, lease: Option<u64>) {
+        self.lease = lease;
+        self.shared.set_lease(lease);
+    }
+
     async fn end(self) {
         if let Some(lease) = self.lease {
             // The lease would end by itself; the process ends in any case.
--- a/src/mesh/store.rs
+++ b/src/mesh/store.rs
@@ -16,7 +16,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest wait for an answer; the store usually takes a few milliseconds, and is slow at times.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Idle time from which a connection is not used again.
 const IDLE_AGE: Duration = Duration::from_secs(5);
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -1,11 +1,9 @@
 //! Follows the store: configuration, orders, rollouts and the records of all nodes.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
-use oleandertiller_mesh::{
-    members::Record,
-    rollout::Plan,
-};
+use futures_util::future::{Either, select};
+use oleandertiller_mesh::{members::Record, rollout::Plan};
 use oleandertiller_model::{Clock, NodeName, ServiceName, ZoneName};
 use oleandertiller_platform::{
     config,
@@ -13,7 +11,7 @@
     store::{Answer, Call, Event, Item},
 };
 
-use super::{daemon::Shared, register::RECORD_PREFIX, state::HeardOrder};
+use super::{daemon::Shared, register::RECORD_PREFIX, state::HeardOrder, store::StoreError};
 
 /// Start of all keys; one watch then hears of everything.
 const ALL: &str = "";
@@ -28,6 +26,9 @@
 /// probes; this bounds what they miss.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 
+/// Wait of a watch while the store is in doubt.
+const DOUBT_WAIT: Duration = Duration::from_millis(300);
+
 /// Pause after a call that failed: a configuration is to be in force two seconds after its
 /// acknowledgement.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
@@ -102,9 +103,17 @@
 
     async fn watch(&mut self, mut revision: u64) {
         loop {
-            let call =
-                Call::Watch { prefix: ALL.to_owned(), after: revision, wait: WATCH_WAIT };
-            let answer = self.shared.store.call(&call).await;
+            // While the store is in doubt, a watch returns soon, so that silence is noticed soon.
+            let wait = if self.failing { DOUBT_WAIT } else { WATCH_WAIT };
+            let call = Call::Watch { prefix: ALL.to_owned(), after: revision, wait };
+            let work = self.shared.store.call(&call);
+            let answer = match select(pin!(work), pin!(self.shared.store_doubted())).await {
+                Either::Left((answer, _)) => answer,
+                Either::Right(_) => {
+                    log::info!(revision = revision; "watch given up, since a call went unanswered");
+                    Err(StoreError::Lost)
+                }
+            };
             self.note(answer.is_ok() && !matches!(answer, Ok(Answer::Busy)));
             match answer {
                 Ok(Answer::Changes { events, revision: next }) => {
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -153,7 +153,8 @@
     body_max: usize,
 ) -> Result<(ResponseHead, Vec<u8>), Failed> {
     for _ in 0..STRAY_ANSWERS {
-        let head = conn.read_response(HEAD_MAX_BYTES).await.map_err(|error| failed(error, false))?;
+        let head =
+            conn.read_response(HEAD_MAX_BYTES).await.map_err(|error| failed(error, false))?;
         let framing = response_framing(head.status, &head.headers);
         let framing = framing.map_err(|error| failed(error, true))?;
         let body = conn.read_body(framing, body_max).await.map_err(|error| failed(error, true))?;
--- a/src/node/inner.rs
+++ b/src/node/inner.rs
@@ -3,7 +3,7 @@
 pub mod client;
 pub mod server;
 
-use std::{future::Future, io, sync::Arc};
+use std::{future::Future, io, sync::Arc, time::Duration};
 
 use async_std::net::TcpStream;
 use bytes::{Bytes, BytesMut};
@@ -13,6 +13,7 @@
     message::{CallHead, ReplyHead},
 };
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
 /// Flow-control window of one stream, in bytes: a body of usual size fits without a round trip.
@@ -91,8 +92,31 @@
     Malformed,
 }
 
-fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)
+/// Time without an acknowledgement of sent bytes after which a connection counts as broken. Lost
+/// packets are sent again within a few hundred milliseconds.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Idle time after which the system asks the other end whether it is alive, and the time between
+/// its questions; the system takes whole seconds.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Questions without an answer after which a connection counts as broken.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// Prepares a socket: small writes are not delayed, and dead paths are noticed.
+///
+/// # Errors
+///
+/// Returns the system's error when an option cannot be set.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(SILENCE))
 }
 
 fn h2_io(stream: TcpStream) -> Compat<TcpStream> {
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -6,9 +6,7 @@
 use oleandertiller_model::{NodeName, RegionName, ServiceName, ZoneName};
 use oleandertiller_routing::{limit::Reserve, selection::Policy};
 
-use super::{
-    value::{Allowed, FORMATS, LEVELS, LogFormat, POLICIES, RESERVES, Share},
-};
+use super::value::{Allowed, FORMATS, LEVELS, LogFormat, POLICIES, RESERVES, Share};
 
 /// Section of operators' tokens, whose keys are names.
 pub const OPERATORS: &str = "operators";
