Try new versions under load on one upstream before they get all requests

A new leader also took a rate of zero for the rate of the service and gave such a version 0.4.

All nodes now fill the same upstream of the new version for a quarter of the allowance, judge the time with all requests by itself, and an owner that sees its own upstream fail vetoes it at once. Calls of running work go first; watches gather changes for 250 ms.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -14,6 +14,9 @@
 use oleandertiller_model::ErrorKind;
 use serde::{Deserialize, Serialize};
 
+/// Requests that a cold upstream gets at once after a pause, as a part of those of a second.
+const COLD_BURST: f64 = 0.2;
+
 /// Part of the slots that is filled while other owners may have room: some upstreams slow down
 /// when they are nearly full.
 const COMFORT_PART: f64 = 0.8;
@@ -83,6 +86,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Value {
+    /// Work that is running already waits for its answer and is lost without it.
+    Nested,
     /// Its answer can come within the objective.
     Timely,
     /// Its answer will be late, and gets what the timely ones leave.
@@ -206,7 +211,7 @@
         let limit = match (ask.value, patient) {
             (Value::Spare, _) if self.cold.is_some() => return Entry::Refuse(ErrorKind::Cold),
             (Value::Spare, _) => self.slots / 2,
-            (_, true) => self.slots,
+            (Value::Nested, _) | (_, true) => self.slots,
             (_, false) => self.comfort(),
         };
         let place = (ask.value, ask.rank);
@@ -311,7 +316,7 @@
             return true;
         }
         let gained = now.duration_since(cold.filled).as_secs_f64() * cold.per_second;
-        cold.tokens = (cold.tokens + gained).min(cold.per_second.max(1.0) / 2.0);
+        cold.tokens = (cold.tokens + gained).min((cold.per_second * COLD_BURST).max(1.0));
         cold.filled = now;
         if cold.tokens < 1.0 {
             return false;
--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -3,8 +3,9 @@
 //! A rollout here lasts seconds, so the judgement works on tens of answers: it compares the share
 //! of failed answers, and of answers far slower than the old version's, route by route. Run times
 //! are divided by the slowness of the machine at the start, so that a version is not blamed for its
-//! neighbours. The share of the new version grows by a schedule that keeps a bad one, also one that
-//! turns bad late or under load, within the exposure that operators allow.
+//! neighbours. The new version gets few requests at first, then enough to put one of its upstreams
+//! under load, and all only when nothing has spoken against it, which keeps also a version that
+//! turns bad late or under load within the exposure that operators allow.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -97,14 +98,18 @@
 const SLOW_BUCKETS: usize = 3;
 
 /// Lowest rate of failures that is taken for the old version.
-const LEAST_FAILURES: f64 = 0.04;
+const LEAST_FAILURES: f64 = 0.015;
 
 /// Lowest rate of slow answers that is taken for the old version.
 const LEAST_SLOW: f64 = 0.12;
 
 /// Chance of a result this bad of a good version at which it counts as bad. Each of a few routes is
 /// looked at some thirty times in a rollout.
-const FOUND: f64 = 1e-4;
+pub const FOUND: f64 = 1e-4;
+
+/// Chance of a result this bad at which a version counts as bad while it gets all requests. It is
+/// looked at a few times then, and each second costs a second of requests.
+pub const FOUND_WITH_ALL: f64 = 3e-3;
 
 /// Chance of a result this bad of a good version at which the share does not grow.
 const SUSPECTED: f64 = 0.05;
@@ -148,6 +153,17 @@
         }
     }
 
+    /// Returns what has come since `before`.
+    fn since(&self, before: &Self) -> Self {
+        let count = |bucket: usize| before.run_times.get(bucket).copied().unwrap_or(0);
+        let run_times = self.run_times.iter().enumerate();
+        Self {
+            ended: self.ended.saturating_sub(before.ended),
+            failed: self.failed.saturating_sub(before.failed),
+            run_times: run_times.map(|(at, now)| now.saturating_sub(count(at))).collect(),
+        }
+    }
+
     fn timed(&self) -> u64 {
         self.run_times.iter().map(|count| u64::from(*count)).sum()
     }
@@ -181,6 +197,26 @@
         routes.entry(route.clone()).or_default().record(run_time);
     }
 
+    /// Returns the number of answers of all versions, or of one.
+    pub fn answers(&self, version: Option<&VersionName>) -> u64 {
+        let versions = self.0.iter().filter(|(known, _)| version.is_none_or(|v| v == *known));
+        versions.flat_map(|(_, routes)| routes.values()).map(|counts| counts.ended).sum()
+    }
+
+    /// Returns the evidence in which one version has only what came since `before`.
+    pub fn since(&self, before: &Self, version: &VersionName) -> Self {
+        let mut window = self.clone();
+        let (Some(routes), Some(known)) = (window.0.get_mut(version), before.0.get(version)) else {
+            return window;
+        };
+        for (route, counts) in routes {
+            if let Some(before) = known.get(route) {
+                *counts = counts.since(before);
+            }
+        }
+        window
+    }
+
     /// Adds the evidence of another owner.
     pub fn merge(&mut self, other: &Self) {
         for (version, routes) in &other.0 {
@@ -203,8 +239,9 @@
     Good(u64),
 }
 
-/// Judges a version by the evidence.
-pub fn judge(evidence: &Evidence, new: &VersionName) -> Finding {
+/// Judges a version by the evidence; a result that a good version has with a chance below `found`
+/// counts as bad.
+pub fn judge(evidence: &Evidence, new: &VersionName, found: f64) -> Finding {
     let mut old: BTreeMap<&Arc<str>, Counts> = BTreeMap::new();
     for (version, routes) in &evidence.0 {
         if version != new {
@@ -220,7 +257,7 @@
         let known = old.get(route).unwrap_or(&none);
         for (what, bad, of, usual) in measures(counts, known) {
             let chance = tail(bad, of, usual);
-            if chance < FOUND {
+            if chance < found {
                 return Finding::Bad(format!("{bad} of {of} `{route}` requests {what}"));
             }
             suspect |= chance < SUSPECTED && bad >= 2;
@@ -259,17 +296,89 @@
     (1.0 - below).max(0.0)
 }
 
-/// Shares of the new version by the part of the time that has passed. The first step is long enough
-/// for a version that turns bad after some seconds; it and the second keep within an exposure of
-/// 10% and 50 requests at 20 to 100 requests a second.
-const STEPS: [(f64, f64); 3] = [(0.0, 0.2), (0.45, 0.5), (0.6, 1.0)];
+/// Part of the time at which a version that nothing speaks against gets all requests.
+const ALL_AT: f64 = 0.6;
+
+/// Part of the time from which a version that does not have all requests yet is not given them:
+/// what it does with them could not be seen any more.
+const LAST_ALL_AT: f64 = 0.8;
+
+/// Part of the time for which a version has all requests before it completes.
+const ALL_PART: f64 = 0.1;
 
-/// Part of the time at which a version that nothing speaks against completes.
+/// Part of the time at which it completes: requests that the old version has by [`ALL_AT`] end
+/// before, since its servers stop at once.
 const COMPLETE_AT: f64 = 0.78;
 
 /// Part of the time at which a rollout ends in any case.
 const END_AT: f64 = 0.92;
 
+/// Part of the time at which an upstream of the new version is put under load: late enough for a
+/// version that turns bad after some seconds.
+const LOAD_AT: f64 = 0.4;
+
+/// Share of the new version while one of its upstreams is under load. All nodes fill the same one,
+/// which then has several times its usual load.
+const LOAD_SHARE: f64 = 0.4;
+
+/// Part of what a bad version may get that goes into the time under load.
+const LOAD_PART: f64 = 0.25;
+
+/// Requests a second of the new version before and after the time under load.
+const TRICKLE: f64 = 2.0;
+
+/// Smallest and largest share of a version that is not proved, outside the time under load.
+const TRICKLE_SHARE: (f64, f64) = (0.02, 0.15);
+
+/// Ratio of two shares from which the one replaces the other.
+const SHARE_STEP: f64 = 0.6;
+
+/// What a bad version may get.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exposure {
+    /// Share of all requests of the service between the order and the end of its time.
+    pub share: f64,
+    /// Requests on top.
+    pub extra: f64,
+}
+
+/// Where a rollout stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Situation {
+    /// Time since the order.
+    pub passed: Duration,
+    /// Time that the order gives.
+    pub within: Duration,
+    /// Whether any upstream of the new version takes requests.
+    pub new_serves: bool,
+    /// Time for which the new version has had all requests.
+    pub with_all: Duration,
+    /// Answers of the service a second, once they have been counted for long enough.
+    pub rate: Option<f64>,
+    /// Answers of the new version.
+    pub new_answers: u64,
+    /// What a bad version may get.
+    pub exposure: Exposure,
+}
+
+impl Situation {
+    /// Returns the part of the time that has passed.
+    fn part(&self) -> f64 {
+        self.passed.as_secs_f64() / self.within.as_secs_f64().max(0.001)
+    }
+
+    /// Returns the share of an unproved version.
+    fn unproved_share(&self) -> f64 {
+        let Some(rate) = self.rate else { return TRICKLE_SHARE.0 };
+        let all = rate * self.within.as_secs_f64();
+        let allowed = self.exposure.share * all + self.exposure.extra;
+        if self.part() >= LOAD_AT && (self.new_answers as f64) < allowed * LOAD_PART {
+            return LOAD_SHARE;
+        }
+        (TRICKLE / rate.max(1.0)).clamp(TRICKLE_SHARE.0, TRICKLE_SHARE.1)
+    }
+}
+
 /// What the controller does next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -283,36 +392,37 @@
     RollBack(String),
 }
 
-/// Decides on a running rollout after `passed` of `within`. `new_serves` says whether any upstream
-/// of the new version takes requests.
-pub fn next(
-    plan: &Plan,
-    finding: &Finding,
-    passed: Duration,
-    within: Duration,
-    new_serves: bool,
-) -> Step {
-    let part = passed.as_secs_f64() / within.as_secs_f64().max(0.001);
+/// Decides on a running rollout.
+pub fn next(plan: &Plan, finding: &Finding, now: &Situation) -> Step {
+    let part = now.part();
     let answers = match finding {
         Finding::Bad(why) => return Step::RollBack(why.clone()),
         Finding::Suspect if part >= END_AT => {
             return Step::RollBack("not shown to be good in time".to_owned());
         }
-        Finding::Suspect => return Step::Stay,
+        Finding::Suspect => 0,
         Finding::Good(answers) => *answers,
     };
-    if part >= END_AT && (answers == 0 || !new_serves) {
+    if part >= END_AT && (answers == 0 || !now.new_serves) {
         return Step::RollBack("it did not serve in time".to_owned());
     }
-    if part >= COMPLETE_AT && new_serves && (answers >= FEWEST_ANSWERS || part >= END_AT) {
-        return Step::Complete;
+    if part >= END_AT && plan.share < 1.0 {
+        return Step::RollBack("not shown to be good in time".to_owned());
     }
-    if plan.share >= 1.0 && !new_serves {
-        return Step::Share(STEPS[0].1);
+    let shown = now.new_serves && answers >= FEWEST_ANSWERS;
+    if plan.share >= 1.0 {
+        let tried = now.with_all.as_secs_f64() >= ALL_PART * now.within.as_secs_f64();
+        return match (now.new_serves, shown && tried && part >= COMPLETE_AT) {
+            (false, _) => Step::Share(TRICKLE_SHARE.0),
+            (true, true) => Step::Complete,
+            (true, false) => Step::Stay,
+        };
     }
-    let due = STEPS.iter().rev().find(|(from, _)| part >= *from).map_or(0.0, |(_, share)| *share);
-    match due > plan.share && new_serves {
-        true => Step::Share(due),
-        false => Step::Stay,
+    if shown && (ALL_AT..LAST_ALL_AT).contains(&part) {
+        return Step::Share(1.0);
     }
+    let share = now.unproved_share();
+    // Small corrections are not worth a write.
+    let differs = share < plan.share * SHARE_STEP || share * SHARE_STEP > plan.share;
+    if now.new_serves && differs { Step::Share(share) } else { Step::Stay }
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -14,7 +14,9 @@
 use async_std::{net::TcpListener, task};
 use bytes::Bytes;
 use event_listener::Event;
-use oleandertiller_mesh::{budget::BudgetConfig, config::Config, members::Record};
+use oleandertiller_mesh::{
+    budget::BudgetConfig, config::Config, members::Record, rollout::Exposure,
+};
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
     message::{CallHead, ReplyHead},
@@ -63,7 +65,7 @@
 const STOP_STORE: Duration = Duration::from_millis(150);
 
 /// Time before the kill at which the process ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(250);
+const STOP_MARGIN: Duration = Duration::from_millis(600);
 
 /// Time between two looks at whether the work has ended.
 const STOP_LOOK: Duration = Duration::from_millis(20);
@@ -200,6 +202,12 @@
         leads.insert(service.clone(), revision);
     }
 
+    /// Returns what a bad version may get.
+    pub fn exposure(&self) -> Exposure {
+        let terms = &self.settings.terms;
+        Exposure { share: terms.exposure_share, extra: terms.exposure_extra }
+    }
+
     /// Returns whether the process has been asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -171,7 +171,8 @@
         let asked = Asked::read(head, body, arrived, self.shared.config().as_deref(), &caller);
         let (id, outcome) = match asked {
             Err(refusal) => (refusal.id.clone(), self.refused(&refusal, arrived)),
-            Ok(asked) => {
+            Ok(mut asked) => {
+                asked.parent = self.shared.owner.parent_of(&asked.id);
                 let served = match select(pin!(self.run(&asked)), pin!(conn.gone())).await {
                     Either::Left((outcome, _)) => Some(outcome),
                     Either::Right(_) => None,
@@ -200,6 +201,7 @@
         self.shared.metrics.count(&asked.route.name, status, why, ms);
         log::info!(id = &*asked.id, route = &*asked.route.name, service = asked.service.as_str(),
             config = asked.config, status = status, why = why, ms = ms,
+            parent = asked.parent.as_deref().unwrap_or(""),
             left_ms = left(asked.deadline, self.shared.clock.now()).as_millis() as u64,
             hops = &*outcome.hops; "request ended");
     }
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -41,6 +41,10 @@
 /// Time between two looks at whether an owner has had the request for long.
 const HEDGE_LOOK: Duration = Duration::from_millis(20);
 
+/// Part of its time after which a call of the local upstream that has not started is refused; the
+/// work of its parent is lost then.
+const NESTED_PATIENCE_PART: f64 = 0.8;
+
 /// Wait that is named when nothing is known of the next free slot.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
@@ -301,7 +305,11 @@
     async fn place(&self, asked: &Asked, tried: &Tried, draw: f64) -> (NodeName, End) {
         let objective = asked.route.objective;
         let calm_until = asked.arrived + objective.mul_f64(CALM_PART);
-        let end = (asked.arrived + objective.mul_f64(PATIENCE_PART)).min(asked.deadline);
+        let patience = match asked.parent {
+            Some(_) => left(asked.deadline, asked.arrived).mul_f64(NESTED_PATIENCE_PART),
+            None => objective.mul_f64(PATIENCE_PART),
+        };
+        let end = (asked.arrived + patience).min(asked.deadline);
         loop {
             let now = self.shared.clock.now();
             let start = Start { any_moment: now >= calm_until, value: self.value(asked, now) };
@@ -335,6 +343,9 @@
 
     /// Returns what it is worth to start a request now.
     fn value(&self, asked: &Asked, now: Instant) -> Value {
+        if asked.parent.is_some() {
+            return Value::Nested;
+        }
         let mut world = self.shared.world();
         let waited =
             asked.named.map_or(Duration::ZERO, |left| world.waited(&asked.route.name, left));
@@ -443,6 +454,12 @@
             if !wanted.is_empty() {
                 owners = wanted;
             }
+            if new {
+                // Some versions turn bad under load only, so that one upstream is filled after the
+                // other, in the same order at all nodes.
+                owners.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
+                return owners.into_iter().map(|(_, record)| record).collect();
+            }
         }
         drop(world);
         let mut candidates: Vec<_> =
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -20,6 +20,8 @@
 pub struct Asked {
     /// Id of the client's attempt.
     pub id: Arc<str>,
+    /// The request that the local upstream runs and for which it makes this call.
+    pub parent: Option<Arc<str>>,
     /// Its route.
     pub route: Arc<Route>,
     /// Version of the configuration that chose the route.
@@ -107,6 +109,7 @@
         headers.set(header::CALLER, caller.as_str());
         Ok(Self {
             id,
+            parent: None,
             route,
             config: version_of(cfg),
             service,
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -16,7 +16,7 @@
 use oleandertiller_mesh::{
     config::Repeat,
     gate::{Ask, Decided, Entry, Gate, OwnerState, Ticket},
-    rollout::Evidence,
+    rollout::{Evidence, FOUND, Finding, judge},
     upstream::{Announcement, Heard, Incarnation, Stage, Upstream},
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, ZoneName};
@@ -52,6 +52,8 @@
     stopping: bool,
     evidence: Evidence,
     next_health: Option<Instant>,
+    running: Vec<Arc<str>>,
+    vetoed: bool,
 }
 
 /// What an owner is made of.
@@ -80,12 +82,18 @@
 /// A request that the upstream runs; gives the slot back when it is dropped.
 struct Slot<'a, C: Clock> {
     owner: &'a Owner<C>,
+    id: &'a Arc<str>,
     run_time: Option<Duration>,
 }
 
 impl<C: Clock> Drop for Slot<'_, C> {
     fn drop(&mut self) {
-        self.owner.lock().gate.release(self.run_time);
+        let mut inner = self.owner.lock();
+        inner.gate.release(self.run_time);
+        if let Some(index) = inner.running.iter().position(|id| id == self.id) {
+            inner.running.swap_remove(index);
+        }
+        drop(inner);
         self.owner.pump();
     }
 }
@@ -114,6 +122,8 @@
             stopping: false,
             evidence: Evidence::default(),
             next_health: None,
+            running: Vec::new(),
+            vetoed: false,
         };
         let health = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
@@ -140,6 +150,7 @@
             }
             if heard == Heard::Replaced {
                 inner.evidence = Evidence::default();
+                inner.vetoed = false;
                 self.pool.clear();
             }
             if heard == Heard::Replaced || heard == Heard::Updated && before != Some(stage) {
@@ -189,10 +200,21 @@
         if !world.is_in(&self.cfg.zone) {
             return Some(ErrorKind::ZoneOut);
         }
-        let admitted = world.admission(&known.service).admits(&known.version);
+        let admission = world.admission(&known.service);
+        // Once a rollout has ended, its end counts and not what was seen here.
+        let unproved = world.is_unproved(&known.service, &known.version);
+        let admitted = admission.admits(&known.version) && !(unproved && inner.vetoed);
         (!admitted).then_some(ErrorKind::VersionVetoed)
     }
 
+    /// Returns the request that the upstream runs and on whose behalf it sends the one with `id`:
+    /// ids of such calls start with the id of the request that they serve.
+    pub fn parent_of(&self, id: &str) -> Option<Arc<str>> {
+        let inner = self.lock();
+        let serves = |parent: &&Arc<str>| id.len() > parent.len() && id.starts_with(&***parent);
+        inner.running.iter().find(serves).cloned()
+    }
+
     /// Returns the evidence on the upstream's version.
     pub fn evidence(&self) -> Evidence {
         self.lock().evidence.clone()
@@ -240,7 +262,8 @@
                 }
             }
         }
-        let mut slot = Slot { owner: self, run_time: None };
+        self.lock().running.push(offer.id.clone());
+        let mut slot = Slot { owner: self, id: &offer.id, run_time: None };
         let started = self.clock.now();
         let end = self.run(offer, deadline).await;
         if let End::Answered(_) = end {
@@ -429,7 +452,18 @@
             End::Answered(_) | End::Unknown(_) => None,
             End::NotRun { .. } => return,
         };
-        self.lock().evidence.record(&known.version, &offer.route, result);
+        let unproved = self.world().is_unproved(&known.service, &known.version);
+        {
+            let mut inner = self.lock();
+            inner.evidence.record(&known.version, &offer.route, result);
+            if !unproved || inner.vetoed {
+                return;
+            }
+            let Finding::Bad(why) = judge(&inner.evidence, &known.version, FOUND) else { return };
+            log::warn!(version = known.version.as_str(), why = &*why; "version vetoed here");
+            inner.vetoed = true;
+        }
+        self.review();
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/src/mesh/rollout.rs
+++ b/src/mesh/rollout.rs
@@ -13,7 +13,9 @@
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
     members::Record,
-    rollout::{Evidence, Phase, Plan, Step, judge, next},
+    rollout::{
+        Evidence, FOUND, FOUND_WITH_ALL, Finding, Phase, Plan, Situation, Step, judge, next,
+    },
 };
 use oleandertiller_model::{Clock, NodeName, ServiceName, codec};
 use oleandertiller_platform::{
@@ -29,7 +31,10 @@
 };
 
 /// Time between two looks at a rollout. A bad version fails tens of requests a second.
-const LOOK: Duration = Duration::from_millis(400);
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Shortest time over which the rate of answers is told.
+const RATE_TIME: Duration = Duration::from_millis(1_100);
 
 /// Longest wait for the evidence of one owner.
 const EVIDENCE_TIME: Duration = Duration::from_millis(300);
@@ -44,13 +49,24 @@
     evidence: BTreeMap<(NodeName, u64), Evidence>,
     /// Revision of the order that the evidence belongs to.
     order: u64,
+    /// When answers were first counted, and how many there were.
+    counted: Option<(Instant, u64)>,
+    /// When the version was first seen to get all requests, and the evidence then.
+    before_all: Option<(Instant, Evidence)>,
     leaderless: Option<Instant>,
 }
 
 impl<C: Clock> Rollouts<C> {
     /// Creates a leader without a rollout.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
-        Self { shared, evidence: BTreeMap::new(), order: 0, leaderless: None }
+        Self {
+            shared,
+            evidence: BTreeMap::new(),
+            order: 0,
+            counted: None,
+            before_all: None,
+            leaderless: None,
+        }
     }
 
     /// Looks at rollouts for the life of the process.
@@ -130,6 +146,8 @@
     async fn lead(&mut self, service: &ServiceName, heard: &HeardOrder) {
         if self.order != heard.revision {
             self.order = heard.revision;
+            self.counted = None;
+            self.before_all = None;
             self.evidence.clear();
         }
         let known = self.shared.world().plans.get(service).cloned();
@@ -152,12 +170,23 @@
         self.gather(service).await;
         let mut all = Evidence::default();
         self.evidence.values().for_each(|evidence| all.merge(evidence));
-        let finding = judge(&all, &plan.version);
+        let finding = self.judge(&all, &plan);
         let by_wall = Duration::from_millis(self.wall_ms().saturating_sub(plan.started));
         let passed = self.shared.clock.now().saturating_duration_since(heard.at).max(by_wall);
         let versions = self.shared.world().versions(service);
         let serves = versions.contains_key(&plan.version);
-        let step = next(&plan, &finding, passed, heard.order.within, serves);
+        let situation = Situation {
+            passed,
+            within: heard.order.within,
+            new_serves: serves,
+            with_all: self.before_all.as_ref().map_or(Duration::ZERO, |(since, _)| {
+                self.shared.clock.now().saturating_duration_since(*since)
+            }),
+            rate: self.rate(all.answers(None)),
+            new_answers: all.answers(Some(&plan.version)),
+            exposure: self.shared.exposure(),
+        };
+        let step = next(&plan, &finding, &situation);
         log::info!(service = service.as_str(), version = plan.version.as_str(),
             share = plan.share, passed_ms = passed.as_millis() as u64, finding:? = finding,
             step:? = step; "rollout judged");
@@ -238,6 +267,30 @@
         }
     }
 
+    /// Judges by all evidence, and while the version gets all requests also by what has come since.
+    fn judge(&mut self, all: &Evidence, plan: &Plan) -> Finding {
+        if plan.share < 1.0 {
+            self.before_all = None;
+            return judge(all, &plan.version, FOUND);
+        }
+        let now = self.shared.clock.now();
+        let (_, before) = self.before_all.get_or_insert_with(|| (now, all.clone()));
+        let window = all.since(before, &plan.version);
+        match judge(&window, &plan.version, FOUND_WITH_ALL) {
+            bad @ Finding::Bad(_) => bad,
+            _ => judge(all, &plan.version, FOUND),
+        }
+    }
+
+    /// Returns the answers of the service a second since they were first counted.
+    fn rate(&mut self, answers: u64) -> Option<f64> {
+        let now = self.shared.clock.now();
+        let (since, before) = *self.counted.get_or_insert((now, answers));
+        let time = now.saturating_duration_since(since);
+        let counted = answers.saturating_sub(before) as f64;
+        (time >= RATE_TIME).then(|| counted / time.as_secs_f64())
+    }
+
     fn wall_ms(&self) -> u64 {
         let since = self.shared.clock.wall().duration_since(UNIX_EPOCH);
         since.unwrap_or_default().as_millis() as u64
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -13,7 +13,7 @@
     hedge::AnswerTimes,
     members::{Member, Members, Record},
     placement::Candidate,
-    rollout::{Admission, Plan},
+    rollout::{Admission, Phase, Plan},
     upstream::Stage,
 };
 use oleandertiller_model::{NodeName, ServiceName, VersionName, ZoneName};
@@ -79,6 +79,12 @@
         Admission::of(plan, order.map(|heard| (heard.revision, &heard.order.version)))
     }
 
+    /// Returns whether a version is in a rollout that has not ended.
+    pub fn is_unproved(&self, service: &ServiceName, version: &VersionName) -> bool {
+        let plan = self.plans.get(service);
+        plan.is_some_and(|(_, plan)| plan.phase == Phase::Running && plan.version == *version)
+    }
+
     /// Returns whether a zone takes requests.
     pub fn is_in(&self, zone: &ZoneName) -> bool {
         !self.evacuated.contains_key(zone)
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -26,6 +26,10 @@
 /// probes; this bounds what they miss.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 
+/// Time between the answer to a watch and the next watch, in which further changes gather. A
+/// configuration is to be in force two seconds after its acknowledgement.
+const GATHER: Duration = Duration::from_millis(250);
+
 /// Wait of a watch while the store is in doubt.
 const DOUBT_WAIT: Duration = Duration::from_millis(300);
 
@@ -127,6 +131,8 @@
                     }
                     if any {
                         self.shared.review();
+                        // Changes come in groups, and each watch is a call that costs.
+                        self.shared.timers.at(self.shared.clock.now() + GATHER).await;
                     }
                 }
                 Ok(Answer::Forgotten) => {
--- a/src/settings/mesh.rs
+++ b/src/settings/mesh.rs
@@ -55,6 +55,10 @@
             "Repeats in one window on top, over the fleet.";
         "retry-window-s", retry_window: Duration, Some("10"), number(1, 3_600, "s"),
             "Length of the sliding window of the retry budget.";
+        "exposure-share", exposure_share: f64, Some("0.1"), Allowed::Decimal { max: 1 },
+            "Share of a service's requests that a bad version may get in its rollout.";
+        "exposure-extra", exposure_extra: f64, Some("50"), Allowed::Decimal { max: 1_000_000 },
+            "Requests that a bad version may get on top.";
         "probes-per-s", probes_per_second: f64, Some("60"), Allowed::Decimal { max: 100_000 },
             "Most health checks a second of one upstream.";
     }
