--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -21,6 +21,13 @@
 /// when they are nearly full.
 const COMFORT_PART: f64 = 0.8;
 
+/// Slots that are left free for more urgent requests while they find none: each soon serves
+/// several short runs, and an unused one is lost.
+const RESERVE_SLOTS: u32 = 1;
+
+/// Time for which slots are left free after a more urgent request has found none.
+const RESERVE_MEMORY: Duration = Duration::from_secs(2);
+
 /// Slowness, in percent of the usual work time, up to which a moment counts as calm.
 const CALM_PERCENT: u32 = 150;
 
@@ -145,6 +152,8 @@
     run_time: f64,
     waiting: BTreeMap<Ticket, Ask>,
     numbers: u64,
+    /// The most urgent request that has lately found no slot, and when.
+    short: Option<(Instant, (Value, u32))>,
 }
 
 impl Default for Gate {
@@ -159,6 +168,7 @@
             run_time: FIRST_RUN_TIME.as_secs_f64(),
             waiting: BTreeMap::new(),
             numbers: 0,
+            short: None,
         }
     }
 }
@@ -214,6 +224,7 @@
             (Value::Nested, _) | (_, true) => self.slots,
             (_, false) => self.comfort(),
         };
+        let limit = limit.saturating_sub(self.reserve(ask.value, ask.rank, now)).max(1);
         let place = (ask.value, ask.rank);
         let first = self.waiting.keys().next().is_none_or(|t| (t.value, t.rank) > place);
         let calm = ask.any_moment || self.is_calm();
@@ -224,6 +235,9 @@
                 false => Entry::Refuse(ErrorKind::Cold),
             };
         }
+        if patient && self.running >= self.slots {
+            self.note_short(ask.value, ask.rank, now);
+        }
         match patient {
             true => self.enqueue(ask),
             false => Entry::Refuse(ErrorKind::Overloaded),
@@ -244,7 +258,9 @@
             return Some(Decided::Refuse(ticket, kind));
         }
         let calm = ask.any_moment || self.is_calm();
-        if calm && self.running < self.slots && self.take_cold(now) {
+        let reserve = self.reserve(ticket.value, ticket.rank, now);
+        let limit = self.slots.saturating_sub(reserve).max(1);
+        if calm && self.running < limit && self.take_cold(now) {
             self.waiting.remove(&ticket);
             self.running += 1;
             return Some(Decided::Run(ticket));
@@ -270,24 +286,51 @@
         self.waiting.len()
     }
 
-    /// Returns the state for the ingress.
-    pub fn state(&self) -> OwnerState {
-        let ahead = (self.running as usize + self.waiting.len() + 1) as f64;
+    /// Returns the state for an ingress that asks on behalf of a request with this value and rank;
+    /// what goes after it does not delay it.
+    pub fn state(&self, value: Value, rank: u32) -> OwnerState {
+        let before = self.waiting.keys().filter(|t| (t.value, t.rank) <= (value, rank)).count();
+        let ahead = (self.running as usize + before + 1) as f64;
         let slots = f64::from(self.slots.max(1));
         let rounds = ((ahead - slots) / slots).max(0.0);
         let by_slots = self.run_time * rounds;
-        let by_rate = self.cold.as_ref().map_or(0.0, |cold| {
-            (self.waiting.len() as f64 + 1.0 - cold.tokens).max(0.0) / cold.per_second
-        });
+        let by_rate = self
+            .cold
+            .as_ref()
+            .map_or(0.0, |cold| (before as f64 + 1.0 - cold.tokens).max(0.0) / cold.per_second);
         OwnerState {
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            slowness: self.figures.slowness.unwrap_or(100),
+            slowness: self.slowness(),
             expected: Duration::from_secs_f64(by_slots.max(by_rate)),
         }
     }
 
+    /// Returns how long work takes now, in percent of the usual time.
+    pub fn slowness(&self) -> u32 {
+        self.figures.slowness.unwrap_or(100)
+    }
+
+    /// Returns the slots that a request leaves free for those that go before it, if any such
+    /// request has lately found none. Long runs of low urgency would otherwise hold all slots.
+    fn reserve(&self, value: Value, rank: u32, now: Instant) -> u32 {
+        let Some((at, place)) = self.short else { return 0 };
+        let lately = now.saturating_duration_since(at) < RESERVE_MEMORY;
+        if lately && place < (value, rank) { RESERVE_SLOTS } else { 0 }
+    }
+
+    /// Takes note that a request has found no slot.
+    fn note_short(&mut self, value: Value, rank: u32, now: Instant) {
+        let place = (value, rank);
+        let old = self.short.is_none_or(|(at, known)| {
+            known >= place || now.saturating_duration_since(at) >= RESERVE_MEMORY
+        });
+        if old {
+            self.short = Some((now, place));
+        }
+    }
+
     fn comfort(&self) -> u32 {
         ((f64::from(self.slots) * COMFORT_PART) as u32).max(1)
     }
--- /dev/null
+++ b/crates/mesh/tests/mesh/config.rs
@@ -0,0 +1,58 @@
+//! Routes.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use oleandertiller_mesh::config::{ClientLimits, Config, Part, Repeat, Route};
+
+fn route(prefix: &str, parts: &[(&str, u32)]) -> Arc<Route> {
+    let part =
+        |(service, weight): &(&str, u32)| Part { service: (*service).into(), weight: *weight };
+    Arc::new(Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        objective: Duration::from_millis(500),
+        rank: 1,
+        timeout: Duration::from_secs(2),
+        attempts: 2,
+        parts: parts.iter().map(part).collect(),
+    })
+}
+
+fn config(routes: &[&str]) -> Config {
+    let routes = routes.iter().map(|prefix| route(prefix, &[("a", 1)])).collect();
+    Config {
+        version: 1,
+        limits: ClientLimits {
+            head_bytes: 1_000,
+            body_bytes: 1_000,
+            head_time: Duration::from_secs(1),
+            idle_time: Duration::from_secs(1),
+        },
+        hosts: BTreeMap::from([("shop.example".into(), routes)]),
+        services: BTreeMap::new(),
+    }
+}
+
+/// Guards against a request that is sent to the service of a shorter prefix.
+#[test]
+fn the_longest_prefix_wins() {
+    let cfg = config(&["/a/", "/a/b/", "/"]);
+    let prefix = |host: &str, path: &str| cfg.route(host, path).map(|route| &*route.prefix);
+    assert_eq!(prefix("shop.example", "/a/b/c"), Some("/a/b/"));
+    assert_eq!(prefix("shop.example:80", "/a/bc"), Some("/a/"));
+    assert_eq!(prefix("SHOP.example", "/c"), Some("/"));
+    assert_eq!(prefix("other.example", "/a/"), None);
+    assert_eq!(config(&["/a/"]).route("shop.example", "/a"), None);
+}
+
+/// Guards against parts that get another share than their weight.
+#[test]
+fn parts_get_their_weight() {
+    let route = route("/", &[("a", 9), ("none", 0), ("b", 1)]);
+    let draws = (0..1_000).map(|n| f64::from(n) / 1_000.0);
+    let picked: Vec<_> = draws.filter_map(|draw| route.pick(draw)).collect();
+    assert_eq!(picked.iter().filter(|service| service.as_str() == "b").count(), 100);
+    assert!(picked.iter().all(|service| service.as_str() != "none"));
+    assert_eq!(route.pick(0.999_999_999_999).map(|service| service.as_str()), Some("b"));
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/gate.rs
@@ -0,0 +1,181 @@
+//! The owner's gate.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_mesh::gate::{Ask, Decided, Entry, Gate, LoadFigures, Value};
+use oleandertiller_model::ErrorKind;
+use proptest::prelude::*;
+
+fn gate(slots: u32) -> Gate {
+    let mut gate = Gate::default();
+    gate.set(slots, None);
+    gate
+}
+
+fn ask(now: Instant, wait: u64) -> Ask {
+    Ask {
+        rank: 1,
+        deadline: now + Duration::from_secs(5),
+        wait_until: now + Duration::from_millis(wait),
+        any_moment: false,
+        value: Value::Timely,
+    }
+}
+
+fn slow(percent: u32) -> LoadFigures {
+    LoadFigures { running: 0, waiting: 0, slots: 6, slowness: Some(percent) }
+}
+
+/// Guards against work that starts at a moment in which it takes five times as long, while
+/// another owner could run it.
+#[test]
+fn a_slow_moment_hands_back() {
+    let now = Instant::now();
+    let mut gate = gate(6);
+    gate.on_figures(slow(500), now);
+    assert_eq!(gate.arrive(ask(now, 0), now), Entry::Refuse(ErrorKind::Overloaded));
+    let Entry::Wait(ticket) = gate.arrive(ask(now, 80), now) else { panic!("must wait") };
+    assert_eq!(gate.next(now), None);
+    gate.on_figures(slow(100), now);
+    assert_eq!(gate.next(now), Some(Decided::Run(ticket)));
+    let at_any = Ask { any_moment: true, ..ask(now, 0) };
+    gate.on_figures(slow(500), now);
+    assert_eq!(gate.arrive(at_any, now), Entry::Run);
+}
+
+/// Guards against a request that waits at a gate which will not open in its time.
+#[test]
+fn a_wait_ends_with_a_refusal() {
+    let now = Instant::now();
+    let mut gate = gate(1);
+    assert_eq!(gate.arrive(ask(now, 0), now), Entry::Run);
+    let Entry::Wait(ticket) = gate.arrive(ask(now, 50), now) else { panic!("must wait") };
+    let later = now + Duration::from_millis(50);
+    assert_eq!(gate.next(later), Some(Decided::Refuse(ticket, ErrorKind::Overloaded)));
+    let Entry::Wait(ticket) = gate.arrive(ask(later, 50), later) else { panic!("must wait") };
+    gate.set(1, Some(ErrorKind::Draining));
+    assert_eq!(gate.next(later), Some(Decided::Refuse(ticket, ErrorKind::Draining)));
+}
+
+/// Guards against late requests that take the slots of those which can still be in time, and
+/// against calls of running work that wait behind new work.
+#[test]
+fn waiting_requests_start_by_worth() {
+    let now = Instant::now();
+    let mut gate = gate(1);
+    assert_eq!(gate.arrive(ask(now, 0), now), Entry::Run);
+    let mut wait = |value, rank| match gate.arrive(Ask { value, rank, ..ask(now, 500) }, now) {
+        Entry::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    };
+    let late = wait(Value::Late, 0);
+    let usual = wait(Value::Timely, 2);
+    let urgent = wait(Value::Timely, 1);
+    let nested = wait(Value::Nested, 9);
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        gate.release(None);
+        match gate.next(now) {
+            Some(Decided::Run(ticket)) => order.push(ticket),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(order, [nested, urgent, usual, late]);
+}
+
+/// Guards against a second run that takes the room of first ones or what a cold server bears.
+#[test]
+fn spare_runs_need_an_idle_warm_upstream() {
+    let now = Instant::now();
+    let mut gate = gate(4);
+    let spare = Ask { value: Value::Spare, ..ask(now, 0) };
+    assert_eq!(gate.arrive(spare, now), Entry::Run);
+    assert_eq!(gate.arrive(ask(now, 0), now), Entry::Run);
+    assert!(matches!(gate.arrive(spare, now), Entry::Refuse(_)));
+    let mut gate = self::gate(4);
+    gate.set_cold(Duration::from_secs(3), Some(5.0), now);
+    assert_eq!(gate.arrive(spare, now), Entry::Refuse(ErrorKind::Cold));
+}
+
+/// Guards against an urgent request that is told of a queue which it goes before.
+#[test]
+fn the_expected_wait_counts_only_what_goes_before() {
+    let now = Instant::now();
+    let mut gate = gate(2);
+    for _ in 0..2 {
+        let patient = ask(now, 500);
+        assert_eq!(gate.arrive(patient, now), Entry::Run);
+    }
+    for _ in 0..20 {
+        let usual = Ask { rank: 2, ..ask(now, 500) };
+        assert!(matches!(gate.arrive(usual, now), Entry::Wait(_)));
+    }
+    let urgent = gate.state(Value::Timely, 1).expected;
+    let usual = gate.state(Value::Timely, 2).expected;
+    assert!(urgent * 5 < usual, "{urgent:?} {usual:?}");
+}
+
+proptest! {
+    /// Guards against more runs than slots, lost tickets, and more starts at a cold upstream than
+    /// it bears in any second.
+    #[test]
+    fn slots_tickets_and_cold_rate_hold(
+        slots in 1_u32..8,
+        rate in 1_u32..20,
+        steps in prop::collection::vec((0_u8..3, 0_u64..60, 0_u32..3), 1..300),
+    ) {
+        let start = Instant::now();
+        let (mut now, mut gate) = (start, gate(slots));
+        gate.set_cold(Duration::from_secs(3), Some(f64::from(rate)), start);
+        let mut running = 0_u32;
+        let mut waiting = std::collections::HashSet::new();
+        let mut starts = Vec::new();
+        for (action, pause, rank) in steps {
+            now += Duration::from_millis(pause);
+            match action {
+                0 if running > 0 => {
+                    gate.release(Some(Duration::from_millis(100)));
+                    running -= 1;
+                }
+                1 => match gate.arrive(Ask { rank, ..ask(now, 100) }, now) {
+                    Entry::Run => {
+                        running += 1;
+                        starts.push(now);
+                    }
+                    Entry::Wait(ticket) => {
+                        waiting.insert(ticket);
+                    }
+                    Entry::Refuse(_) => {}
+                },
+                _ => {
+                    let _ = gate.arrive(Ask { rank, ..ask(now, 0) }, now) == Entry::Run && {
+                        running += 1;
+                        starts.push(now);
+                        true
+                    };
+                }
+            }
+            while let Some(decided) = gate.next(now) {
+                let ticket = match decided {
+                    Decided::Run(ticket) => {
+                        running += 1;
+                        starts.push(now);
+                        ticket
+                    }
+                    Decided::Refuse(ticket, _) => ticket,
+                };
+                prop_assert!(waiting.remove(&ticket));
+            }
+            prop_assert!(running <= slots);
+            prop_assert_eq!(gate.waiting(), waiting.len());
+        }
+        let cold_end = start + Duration::from_secs(3);
+        let cold: Vec<_> = starts.iter().filter(|at| **at < cold_end).collect();
+        for end in &cold {
+            let second = cold.iter().filter(|at| **at <= *end && **end - ***at < Duration::from_secs(1));
+            // A token in the bucket, one under way, and a fifth of a second's at once.
+            let bound = f64::from(rate) * 1.2 + 2.0;
+            prop_assert!(second.count() as f64 <= bound);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/main.rs
@@ -0,0 +1,10 @@
+//! Decisions of a mesh node, each with the failure it guards against.
+
+mod budget;
+mod config;
+mod gate;
+mod load;
+mod members;
+mod placement;
+mod rollout;
+mod upstream;
--- /dev/null
+++ b/crates/mesh/tests/mesh/members.rs
@@ -0,0 +1,85 @@
+//! Which instances exist while the store comes and goes.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_mesh::members::{Members, RETURN_GRACE, Record};
+
+fn record(node: &str, incarnation: u64) -> Record {
+    Record {
+        node: node.into(),
+        incarnation,
+        inner: "127.0.0.1:80".parse().unwrap(),
+        zone: "z".into(),
+        stopping: false,
+        upstream: None,
+    }
+}
+
+fn names(members: &Members) -> Vec<&str> {
+    members.iter().map(|member| member.record.node.as_str()).collect()
+}
+
+/// Guards against a fleet that forgets itself when the store returns after all leases have ended.
+#[test]
+fn records_that_lapsed_together_stay_for_their_return() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    for node in ["a", "b"] {
+        members.put(node, record(node, 1));
+    }
+    members.keep_only(&[], now);
+    assert!(members.expire(now + RETURN_GRACE).is_empty());
+    members.put("a", record("a", 1));
+    let later = now + RETURN_GRACE + Duration::from_millis(1);
+    let gone = members.expire(later);
+    assert_eq!(gone.iter().map(|r| r.node.as_str()).collect::<Vec<_>>(), ["b"]);
+    assert_eq!(names(&members), ["a"]);
+}
+
+/// Guards against a node that only the store has lost sight of and that is no longer used.
+#[test]
+fn a_node_that_answers_stays() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    members.put("a", record("a", 1));
+    members.remove("a", now);
+    for seconds in 1..30 {
+        let at = now + Duration::from_secs(seconds);
+        members.on_answer(&"a".into(), at);
+        assert!(members.expire(at).is_empty());
+    }
+    let silent = now + Duration::from_secs(40);
+    assert_eq!(members.expire(silent).len(), 1);
+}
+
+/// Guards against requests that are sent again and again to a node that cannot be reached.
+#[test]
+fn a_node_that_fails_rests_longer_each_time() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    members.put("a", record("a", 1));
+    let reachable = |members: &Members, at| members.iter().next().unwrap().is_reachable(at);
+    members.on_failure(&"a".into(), now);
+    assert!(!reachable(&members, now));
+    assert!(reachable(&members, now + Duration::from_millis(250)));
+    members.on_failure(&"a".into(), now);
+    assert!(!reachable(&members, now + Duration::from_millis(250)));
+    members.on_answer(&"a".into(), now);
+    assert!(reachable(&members, now));
+    members.on_failure(&"a".into(), now);
+    members.put("a", record("a", 2));
+    assert!(reachable(&members, now), "another process has not failed yet");
+}
+
+/// Guards against shares of the fleet's budgets that grow when nodes vanish.
+#[test]
+fn shares_count_the_most_nodes() {
+    let now = Instant::now();
+    let mut members = Members::default();
+    for node in ["a", "b", "c"] {
+        members.put(node, record(node, 1));
+    }
+    members.keep_only(&[], now);
+    members.expire(now + Duration::from_secs(10));
+    assert_eq!(members.most(), 3);
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -0,0 +1,64 @@
+//! The order in which owners are asked.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_mesh::{
+    gate::OwnerState,
+    placement::{Candidate, order, where_to_wait},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+fn state(running: u32, slowness: u32, expected_ms: u64) -> OwnerState {
+    let expected = Duration::from_millis(expected_ms);
+    OwnerState { running, waiting: 0, slots: 6, slowness, expected }
+}
+
+fn candidate(node: &str, zone: &str, state: Option<(OwnerState, Instant)>) -> Candidate {
+    Candidate { node: node.into(), zone: zone.into(), state, sent: 0, tried: true }
+}
+
+fn first(mut candidates: Vec<Candidate>, now: Instant) -> String {
+    let mut rng = StdRng::seed_from_u64(1);
+    order(&mut candidates, &"here".into(), &"z1".into(), now, &mut rng);
+    candidates[0].node.as_str().to_owned()
+}
+
+/// Guards against bytes between zones, which cost, without need.
+#[test]
+fn near_owners_come_first() {
+    let now = Instant::now();
+    let calm = Some((state(0, 100, 0), now));
+    let far = || candidate("far", "z2", calm);
+    assert_eq!(first(vec![far(), candidate("near", "z1", calm)], now), "near");
+    assert_eq!(first(vec![far(), candidate("here", "z1", calm)], now), "here");
+}
+
+/// Guards against a near owner that is slow or full and still comes first.
+#[test]
+fn a_slow_or_full_owner_comes_later() {
+    let now = Instant::now();
+    let far = || candidate("far", "z2", Some((state(0, 100, 0), now)));
+    let slow = candidate("near", "z1", Some((state(0, 500, 0), now)));
+    assert_eq!(first(vec![slow, far()], now), "far");
+    let full = candidate("near", "z1", Some((state(6, 100, 0), now)));
+    assert_eq!(first(vec![full, far()], now), "far");
+    let long_ago = candidate("near", "z1", Some((state(6, 500, 0), now)));
+    assert_eq!(first(vec![long_ago, far()], now + Duration::from_secs(2)), "near");
+}
+
+/// Guards against a new server that no other node ever asks.
+#[test]
+fn an_owner_that_was_never_asked_comes_first_once() {
+    let now = Instant::now();
+    let calm = Some((state(0, 100, 0), now));
+    let new = Candidate { tried: false, ..candidate("new", "z2", None) };
+    assert_eq!(first(vec![candidate("here", "z1", calm), new], now), "new");
+}
+
+/// Guards against waiting where no slot is expected.
+#[test]
+fn requests_wait_where_a_slot_comes_soonest() {
+    let states = [(0, state(6, 100, 300)), (1, state(6, 100, 60)), (2, state(6, 500, 200))];
+    assert_eq!(where_to_wait(&states), Some(1));
+    assert_eq!(where_to_wait(&[]), None);
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/rollout.rs
@@ -0,0 +1,210 @@
+//! Versions: who may serve, what evidence shows, and when a rollout goes on.
+
+use std::{sync::Arc, time::Duration};
+
+use oleandertiller_mesh::rollout::{
+    Admission, Evidence, Exposure, FOUND, FOUND_WITH_ALL, Finding, Phase, Plan, Situation, Step,
+    judge, next,
+};
+use oleandertiller_model::VersionName;
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const EXPOSURE: Exposure = Exposure { share: 0.1, extra: 50.0 };
+
+fn v(name: &str) -> VersionName {
+    name.into()
+}
+
+fn plan(phase: Phase, share: f64) -> Plan {
+    Plan { order: 7, version: v("v2"), phase, share, started: 0, why: None }
+}
+
+/// Guards against a new version that serves before anybody watches it, or after it was taken back.
+#[test]
+fn versions_serve_by_the_state_of_the_rollout() {
+    let (old, new) = (v("v1"), v("v2"));
+    let admits = |plan: Option<&Plan>, order: Option<u64>| {
+        let admission = Admission::of(plan, order.map(|revision| (revision, &new)));
+        (admission.admits(&old), admission.admits(&new))
+    };
+    assert_eq!(admits(None, None), (true, true));
+    assert_eq!(admits(None, Some(7)), (true, false));
+    assert_eq!(admits(Some(&plan(Phase::Running, 0.1)), Some(7)), (true, true));
+    assert_eq!(admits(Some(&plan(Phase::Running, 1.0)), Some(7)), (false, true));
+    assert_eq!(admits(Some(&plan(Phase::Completed, 1.0)), Some(7)), (false, true));
+    assert_eq!(admits(Some(&plan(Phase::RolledBack, 0.0)), Some(7)), (true, false));
+    assert_eq!(admits(Some(&plan(Phase::RolledBack, 0.0)), None), (true, false));
+    let third = v("v3");
+    let admission = Admission::of(Some(&plan(Phase::Completed, 1.0)), Some((9, &third)));
+    assert!(admission.admits(&new) && !admission.admits(&third));
+}
+
+fn evidence(old: (u64, u64), new: (u64, u64), new_ms: u64) -> Evidence {
+    let route: Arc<str> = "r".into();
+    let mut evidence = Evidence::default();
+    for (version, (ended, failed), ms) in [("v1", old, 200), ("v2", new, new_ms)] {
+        for n in 0..ended {
+            let result = (n >= failed).then(|| Duration::from_millis(ms + n % 50));
+            evidence.record(&v(version), &route, result);
+        }
+    }
+    evidence
+}
+
+/// Guards against a bad version that goes unnoticed, and a good one that is taken back.
+#[test]
+fn evidence_tells_good_from_bad() {
+    let judged = |evidence: &Evidence| judge(evidence, &v("v2"), FOUND);
+    assert_eq!(judged(&evidence((200, 1), (40, 0), 200)), Finding::Good(40));
+    assert!(matches!(judged(&evidence((200, 1), (12, 6), 200)), Finding::Bad(_)));
+    assert!(matches!(judged(&evidence((200, 1), (20, 0), 1_600)), Finding::Bad(_)));
+    // What fails as often on both is no fault of the version.
+    assert!(!matches!(judged(&evidence((200, 60), (40, 12), 200)), Finding::Bad(_)));
+    assert_eq!(judged(&Evidence::default()), Finding::Good(0));
+}
+
+/// Guards against answers before a change of load that hide what comes after it.
+#[test]
+fn a_window_shows_what_came_since() {
+    let before = evidence((200, 1), (60, 0), 200);
+    let mut after = before.clone();
+    after.merge(&evidence((0, 0), (14, 3), 200));
+    assert!(!matches!(judge(&after, &v("v2"), FOUND), Finding::Bad(_)));
+    let window = after.since(&before, &v("v2"));
+    assert_eq!(window.answers(Some(&v("v2"))), 14);
+    assert!(matches!(judge(&window, &v("v2"), FOUND_WITH_ALL), Finding::Bad(_)));
+}
+
+fn situation(passed: f64, rate: Option<f64>, new_answers: u64) -> Situation {
+    Situation {
+        passed: Duration::from_secs_f64(passed),
+        within: Duration::from_secs(16),
+        new_serves: true,
+        with_all: Duration::ZERO,
+        rate,
+        new_answers,
+        exposure: EXPOSURE,
+    }
+}
+
+/// Guards against a version that completes without having been tried with all requests: its old
+/// servers stop at that moment.
+#[test]
+fn a_version_completes_after_a_time_with_all_requests() {
+    let good = Finding::Good(80);
+    let all = plan(Phase::Running, 1.0);
+    let now = situation(13.0, Some(80.0), 80);
+    assert_eq!(next(&all, &good, &now), Step::Stay);
+    let now = Situation { with_all: Duration::from_secs(2), ..now };
+    assert_eq!(next(&all, &good, &now), Step::Complete);
+    assert!(matches!(next(&all, &Finding::Bad("x".into()), &now), Step::RollBack(_)));
+    let few = plan(Phase::Running, 0.1);
+    assert!(matches!(next(&few, &good, &situation(15.0, Some(80.0), 80)), Step::RollBack(_)));
+    assert_eq!(next(&few, &good, &situation(10.0, Some(80.0), 80)), Step::Share(1.0));
+    let gone = Situation { new_serves: false, ..now };
+    assert!(matches!(next(&all, &good, &gone), Step::Share(share) if share < 0.1));
+}
+
+/// How a version behaves.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Good,
+    /// Fails a share of all requests from a part of the time on.
+    Fails(f64, f64),
+    /// Fails a share of the requests while it has more than a quarter of all.
+    UnderLoad(f64),
+}
+
+/// Plays a rollout at a rate; returns how it ended and what the version got.
+fn play(kind: Kind, rate: f64, seed: u64) -> (Option<Phase>, u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (within, look) = (16.0, 0.25);
+    let routes: [Arc<str>; 2] = ["lookup".into(), "release".into()];
+    let mut evidence = Evidence::default();
+    let (mut share, mut got, mut full) = (0.0, 0, None);
+    let mut before = None;
+    let mut time = 2.0;
+    while time < within {
+        for _ in 0..(rate * look) as u32 {
+            let new = rng.random_bool(share);
+            got += u64::from(new);
+            let failing = match kind {
+                Kind::Good => 0.005,
+                Kind::Fails(part, from) if time >= from => part,
+                Kind::UnderLoad(part) if share > 0.25 => part,
+                _ => 0.005,
+            };
+            let failed = rng.random_bool(if new { failing } else { 0.005 });
+            let time = Duration::from_millis(rng.random_range(120..300));
+            let route = &routes[usize::from(rng.random_bool(0.25))];
+            evidence.record(&v(if new { "v2" } else { "v1" }), route, (!failed).then_some(time));
+        }
+        time += look;
+        let all = plan(Phase::Running, share);
+        let window = match share >= 1.0 {
+            true => {
+                full.get_or_insert(time);
+                evidence.since(before.get_or_insert_with(|| evidence.clone()), &v("v2"))
+            }
+            false => Evidence::default(),
+        };
+        let finding = match judge(&window, &v("v2"), FOUND_WITH_ALL) {
+            bad @ Finding::Bad(_) => bad,
+            _ => judge(&evidence, &v("v2"), FOUND),
+        };
+        let with_all = full.map_or(0.0, |since: f64| time - since);
+        let now = Situation {
+            with_all: Duration::from_secs_f64(with_all),
+            ..situation(time, (time > 3.2).then_some(rate), evidence.answers(Some(&v("v2"))))
+        };
+        match next(&all, &finding, &now) {
+            Step::Stay => {}
+            Step::Share(new) => share = new,
+            Step::Complete => return (Some(Phase::Completed), got),
+            Step::RollBack(_) => return (Some(Phase::RolledBack), got),
+        }
+    }
+    (None, got)
+}
+
+/// Guards against a bad version that gets more than operators allow, and against rollouts without
+/// an end. The load: 22 and 88 requests a second, as at the two deployments.
+#[test]
+fn bad_versions_are_taken_back_within_the_exposure() {
+    for rate in [22.0, 88.0] {
+        let allowed = (EXPOSURE.share * rate * 16.0 + EXPOSURE.extra) as u64;
+        let kinds = [Kind::Fails(0.4, 0.0), Kind::Fails(0.4, 5.0), Kind::UnderLoad(0.4)];
+        for kind in kinds {
+            let mut over = 0;
+            for seed in 0..100 {
+                let (end, got) = play(kind, rate, seed);
+                assert_eq!(end, Some(Phase::RolledBack), "{kind:?} at {rate}, seed {seed}");
+                over += u32::from(got > allowed);
+            }
+            assert_eq!(over, 0, "{kind:?} at {rate}: over {allowed} in {over} of 100");
+        }
+    }
+}
+
+/// Guards against good versions that are taken back.
+#[test]
+fn good_versions_complete() {
+    for rate in [22.0, 88.0] {
+        let ends = (0..200).map(|seed| play(Kind::Good, rate, seed).0);
+        let completed = ends.filter(|end| *end == Some(Phase::Completed)).count();
+        assert!(completed >= 190, "{completed} of 200 at {rate}");
+    }
+}
+
+proptest! {
+    /// Guards against evidence that depends on the order in which owners are asked.
+    #[test]
+    fn evidence_merges_in_any_order(counts in prop::collection::vec((0_u64..9, 0_u64..9), 2..6)) {
+        let parts: Vec<_> = counts.iter().map(|(a, b)| evidence((*a, 0), (*b, *b / 2), 200)).collect();
+        let (mut one, mut other) = (Evidence::default(), Evidence::default());
+        parts.iter().for_each(|part| one.merge(part));
+        parts.iter().rev().for_each(|part| other.merge(part));
+        prop_assert_eq!(one, other);
+    }
+}
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -220,16 +220,16 @@
         self.lock().evidence.clone()
     }
 
-    /// Returns the state that travels with answers.
-    pub fn state(&self) -> OwnerState {
-        self.lock().gate.state()
+    /// Returns the state that travels with the answer to an offer.
+    pub fn state(&self, offer: &Offer) -> OwnerState {
+        self.lock().gate.state(offer.value, offer.rank)
     }
 
     /// Decides on a request and runs it, unless it goes back.
     pub async fn offer(&self, offer: &Offer) -> Reply {
         let deadline = self.clock.now() + offer.remaining.min(REMAINING_MAX);
         let end = self.decide(offer, deadline).await;
-        let state = self.state();
+        let state = self.state(offer);
         // The ingress logs what it was told at each owner; a line here is for what it cannot know.
         let handed_back = matches!(end, End::NotRun { arrived: false, .. });
         if !handed_back && !matches!(end, End::Answered(_)) {
@@ -377,7 +377,7 @@
             return End::NotRun { why: ErrorKind::NoUpstream, arrived: false };
         };
         let started = self.clock.now();
-        let slowness = self.lock().gate.state().slowness;
+        let slowness = self.lock().gate.slowness();
         let Some(taken) = self.connection(known.address, deadline).await else {
             return End::NotRun { why: ErrorKind::ConnectFailed, arrived: false };
         };
