--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -65,7 +65,7 @@
 const STOP_STORE: Duration = Duration::from_millis(150);
 
 /// Time before the kill at which the process ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
+const STOP_MARGIN: Duration = Duration::from_millis(900);
 
 /// Time between two looks at whether the work has ended.
 const STOP_LOOK: Duration = Duration::from_millis(20);
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -85,6 +85,15 @@
         plan.is_some_and(|(_, plan)| plan.phase == Phase::Running && plan.version == *version)
     }
 
+    /// Returns whether any service is in a rollout.
+    pub fn is_in_rollout(&self) -> bool {
+        let running = self.plans.values().any(|(_, plan)| plan.phase == Phase::Running);
+        let open = self.orders.iter().any(|(service, heard)| {
+            self.plans.get(service).is_none_or(|(_, plan)| plan.order < heard.revision)
+        });
+        running || open
+    }
+
     /// Returns whether a zone takes requests.
     pub fn is_in(&self, zone: &ZoneName) -> bool {
         !self.evacuated.contains_key(zone)
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -1,6 +1,10 @@
 //! Follows the store: configuration, orders, rollouts and the records of all nodes.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{members::Record, rollout::Plan};
@@ -26,9 +30,17 @@
 /// probes; this bounds what they miss.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 
-/// Time between the answer to a watch and the next watch, in which further changes gather. A
-/// configuration is to be in force two seconds after its acknowledgement.
-const GATHER: Duration = Duration::from_millis(250);
+/// Time between the answer to a watch and the next watch, in which further changes gather, since
+/// each watch is a call that costs. A configuration is to be in force two seconds after its
+/// acknowledgement.
+const GATHER: Duration = Duration::from_millis(1_000);
+
+/// The same while news is urgent: during a rollout, and right after the start, when other nodes
+/// start, too.
+const GATHER_URGENT: Duration = Duration::from_millis(250);
+
+/// Time after the start of the process for which news is urgent.
+const START_TIME: Duration = Duration::from_secs(4);
 
 /// Wait of a watch while the store is in doubt.
 const DOUBT_WAIT: Duration = Duration::from_millis(300);
@@ -43,13 +55,15 @@
 /// Follows the store.
 pub struct Sync<C: Clock> {
     shared: Arc<Shared<C>>,
+    started: Instant,
     failing: bool,
 }
 
 impl<C: Clock> Sync<C> {
     /// Creates a follower that has heard nothing.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
-        Self { shared, failing: false }
+        let started = shared.clock.now();
+        Self { shared, started, failing: false }
     }
 
     /// Follows the store for the life of the process.
@@ -131,8 +145,7 @@
                     }
                     if any {
                         self.shared.review();
-                        // Changes come in groups, and each watch is a call that costs.
-                        self.shared.timers.at(self.shared.clock.now() + GATHER).await;
+                        self.shared.timers.at(self.shared.clock.now() + self.gather()).await;
                     }
                 }
                 Ok(Answer::Forgotten) => {
@@ -144,6 +157,11 @@
         }
     }
 
+    fn gather(&self) -> Duration {
+        let starting = self.shared.clock.now().saturating_duration_since(self.started) < START_TIME;
+        if starting || self.shared.world().is_in_rollout() { GATHER_URGENT } else { GATHER }
+    }
+
     fn forget_missing(&self, items: &[Item]) {
         let keys: Vec<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let holds = |prefix: &str, name: &str| keys.contains(&format!("{prefix}{name}").as_str());
