Test whole mesh nodes against stand-ins of the platform

The stand-in crate learns the platform's store (leases, watches, conditional changes, dropped history, outages) and an upstream beside a mesh node.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod http;
+pub mod platform;
 pub mod ports;
 pub mod proxy;
 pub mod store;
--- /dev/null
+++ b/tests/mesh/fleet.rs
@@ -0,0 +1,295 @@
+//! A small deployment: mesh nodes as processes, with stand-ins for store and upstreams.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use async_std::{future::timeout, task};
+use oleandertiller::mesh::http::{Headers, HttpConn, encode_request, response_framing};
+use oleandertiller_standin::{
+    platform::{KvStore, MeshUpstream},
+    ports::PortBlock,
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest time for any one step of a test.
+pub const STEP: Duration = Duration::from_secs(8);
+
+const POLL: Duration = Duration::from_millis(20);
+const NODE: &str = env!("CARGO_BIN_EXE_oleandertiller");
+
+/// One node with the upstream beside it; the process is ended by its id on drop.
+pub struct Member {
+    pub name: String,
+    pub service: String,
+    pub ingress: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+    pub metrics: SocketAddr,
+    pub upstream: MeshUpstream,
+    settings: std::path::PathBuf,
+    child: Option<Child>,
+    lines: Arc<Mutex<Vec<Value>>>,
+    sequence: u64,
+    born: u64,
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// What the node does with its standard output.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    Read,
+    Stalled,
+}
+
+impl Member {
+    pub fn start(&mut self, output: Output) {
+        let mut child = Command::new(NODE)
+            .args(["mesh", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        if output == Output::Read {
+            let (stdout, lines) = (child.stdout.take().unwrap(), self.lines.clone());
+            thread::spawn(move || {
+                for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                    let value = serde_json::from_str(&line).expect("one JSON object a line");
+                    lines.lock().unwrap().push(value);
+                }
+            });
+        }
+        self.child = Some(child);
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        let mut child = self.child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    pub async fn ended(&mut self, within: Duration) -> ExitStatus {
+        let end = Instant::now() + within;
+        loop {
+            if let Some(status) = self.child.as_mut().unwrap().try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "{} has not ended", self.name);
+            task::sleep(POLL).await;
+        }
+    }
+
+    /// Sends an announcement; returns the status of the answer.
+    pub async fn announce(&mut self, state: &str) -> u16 {
+        self.sequence += 1;
+        let body = json!({
+            "service": self.service, "address": self.upstream.addr().to_string(), "zone": "z1",
+            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0,
+            "sequence": self.sequence, "born": self.born,
+        });
+        let path = format!("/api/instances/{}", self.upstream.id());
+        self.put(&path, body.to_string().as_bytes()).await
+    }
+
+    pub async fn put(&self, path: &str, body: &[u8]) -> u16 {
+        let answer = call(self.control, "PUT", path, "x", &[], body).await;
+        answer.map_or(0, |answer| answer.status)
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = call(self.ready, "GET", "/api/readiness", "x", &[], &[]).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Returns the log lines with a request's id, once one of them has `event`.
+    pub async fn lines_of(&self, id: &str, event: &str) -> Vec<Value> {
+        until("the log line", || {
+            let lines = self.lines.lock().unwrap();
+            let found: Vec<Value> = lines.iter().filter(|line| line["id"] == id).cloned().collect();
+            found.iter().any(|line| line["event"] == event).then_some(found)
+        })
+        .await
+    }
+
+    pub fn events(&self) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter_map(|line| line["event"].as_str().map(str::to_owned)).collect()
+    }
+}
+
+/// An answer, and whether the connection ended without one.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: String,
+}
+
+/// Sends one request on a new connection; `None` if it ended without a whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    host: &str,
+    extra: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Answer> {
+    let mut conn = HttpConn::connect(address).await.ok()?;
+    let mut headers = Headers::default();
+    headers.set("Host", host);
+    for (name, value) in extra {
+        headers.set(name, *value);
+    }
+    conn.write(&encode_request(method, path, &headers, body)).await.ok()?;
+    let head = timeout(STEP, conn.read_response(64_000)).await.ok()?.ok()?;
+    let framing = response_framing(head.status, &head.headers).ok()?;
+    let body = timeout(STEP, conn.read_body(framing, 1 << 20)).await.ok()?.ok()?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Some(Answer { status: head.status, headers: head.headers, body })
+}
+
+/// Looks until `f` gives a value.
+pub async fn until<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + STEP;
+    loop {
+        if let Some(value) = f() {
+            return value;
+        }
+        assert!(Instant::now() < end, "no {what} within {STEP:?}");
+        task::sleep(POLL).await;
+    }
+}
+
+pub struct Fleet {
+    pub store: KvStore,
+    pub members: Vec<Member>,
+    _ports: PortBlock,
+    _dir: TempDir,
+}
+
+pub fn config(version: u64, extra_prefix: Option<&str>) -> Value {
+    let rule = |name: &str, kind: &str, prefix: &str| {
+        json!({
+            "name": name, "kind": kind, "targetLatencyMs": 500, "priority": 1,
+            "match": { "pathPrefix": prefix },
+            "action": { "service": "kettle", "timeoutMs": 1500, "retryAttempts": 2 },
+        })
+    };
+    let mut rules = vec![rule("read", "safe", "/read/"), rule("release", "unsafe", "/release/")];
+    rules.extend(extra_prefix.map(|prefix| rule("extra", "safe", prefix)));
+    json!({
+        "version": version,
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000 },
+        "listeners": [{ "host": "shop.example", "ruleSet": rules }],
+        "clusters": [{ "name": "kettle", "healthCheckPath": "/health", "connectionLimit": 200,
+            "protocol": "h1", "tls": false, "coldStartS": 3.0, "coldPerS": 5.0 }],
+    })
+}
+
+impl Fleet {
+    /// Starts `count` nodes of one service, all ready and known to each other.
+    pub async fn start(count: usize) -> Self {
+        Self::start_with(count, Output::Read).await
+    }
+
+    pub async fn start_with(count: usize, output: Output) -> Self {
+        let (mut ports, dir) = (PortBlock::reserve(), TempDir::new().unwrap());
+        let store = KvStore::start(ports.next_address().unwrap()).await.unwrap();
+        store.put("op/config", &config(3, None));
+        let mut members = Vec::new();
+        for index in 0..count {
+            let mut member = Self::member(index, &mut ports, &store, &dir).await;
+            member.start(output);
+            members.push(member);
+        }
+        let mut fleet = Self { store, members, _ports: ports, _dir: dir };
+        fleet.settle().await;
+        fleet
+    }
+
+    /// Waits until all nodes are ready and their upstreams are in the store.
+    pub async fn settle(&mut self) {
+        for member in &mut self.members {
+            let end = Instant::now() + STEP;
+            while !member.is_ready().await || member.announce("ready").await != 200 {
+                assert!(Instant::now() < end, "{} is not ready", member.name);
+                task::sleep(POLL).await;
+            }
+        }
+        let count = self.members.len();
+        until("records", || {
+            let keys = self.store.keys("mesh/nodes/");
+            let served = keys.iter().filter(|key| {
+                self.store.get(key).is_some_and(|record| !record["upstream"].is_null())
+            });
+            (served.count() == count).then_some(())
+        })
+        .await;
+        // The last record is heard by the others with their next watch.
+        task::sleep(Duration::from_millis(400)).await;
+    }
+
+    async fn member(index: usize, ports: &mut PortBlock, store: &KvStore, dir: &TempDir) -> Member {
+        let mut next = || ports.next_address().unwrap();
+        let (ingress, inner, ready, control, metrics) = (next(), next(), next(), next(), next());
+        let upstream = MeshUpstream::start(next(), &format!("i-{index}"), 4).await.unwrap();
+        let settings = dir.path().join(format!("node-{index}.ini"));
+        let text = format!(
+            "[node]\nname = node-{index}\nzone = z1\nservice = kettle\nupstream = {}\n\
+             [listen]\ningress = {ingress}\ninner = {inner}\nready = {ready}\n\
+             control = {control}\nmetrics = {metrics}\n\
+             [store]\naddress = {}\n[terms]\nstop-s = 6\n",
+            upstream.addr(),
+            store.addr(),
+        );
+        std::fs::write(&settings, text).unwrap();
+        Member {
+            name: format!("node-{index}"),
+            service: "kettle".to_owned(),
+            ingress,
+            ready,
+            control,
+            metrics,
+            upstream,
+            settings,
+            child: None,
+            lines: Arc::default(),
+            sequence: 0,
+            born: 1_000,
+        }
+    }
+
+    /// Sends a request to the ingress of a member.
+    pub async fn ask(&self, member: usize, method: &str, path: &str, id: &str) -> Option<Answer> {
+        let ids =
+            [("Oleandertiller-Attempt-Id", id), ("Oleandertiller-Deadline-Milliseconds", "3000")];
+        call(self.members[member].ingress, method, path, "shop.example", &ids, &[]).await
+    }
+
+    /// Returns how often a request has run anywhere.
+    pub fn runs(&self, id: &str) -> usize {
+        let runs = self.members.iter().flat_map(|member| member.upstream.runs());
+        runs.filter(|run| run.id == id).count()
+    }
+}
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,3 +1,5 @@
 //! The mesh node: its parts on loopback sockets, and whole processes against stand-ins.
 
+mod fleet;
 mod http;
+mod processes;
