--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Requests that a cold upstream gets at once after a pause, as a part of those of a second.
-const COLD_BURST: f64 = 0.2;
+const COLD_BURST: f64 = 0.5;
 
 /// Part of the slots that is filled while other owners may have room: some upstreams slow down
 /// when they are nearly full.
@@ -28,6 +28,16 @@
 /// Time for which slots are left free after a more urgent request has found none.
 const RESERVE_MEMORY: Duration = Duration::from_secs(2);
 
+/// Gain of the share of failed runs for each run.
+const FAILING_GAIN: f64 = 0.15;
+
+/// Time after which the share of failed runs has faded to about a third.
+const FAILING_MEMORY: Duration = Duration::from_secs(4);
+
+/// Share of failed runs from which requests that may run at most once are handed back: two failures
+/// in a row. The others can be repeated, and need the capacity.
+const FAILING: f64 = 0.25;
+
 /// Slowness, in percent of the usual work time, up to which a moment counts as calm.
 const CALM_PERCENT: u32 = 150;
 
@@ -86,6 +96,8 @@
     pub any_moment: bool,
     /// What it is worth to start it here.
     pub value: Value,
+    /// Whether it may run at most once, so that a lost answer loses the request.
+    pub once: bool,
 }
 
 /// What it is worth to start a request, the most first.
@@ -154,6 +166,8 @@
     numbers: u64,
     /// The most urgent request that has lately found no slot, and when.
     short: Option<(Instant, (Value, u32))>,
+    /// Share of lately ended runs that failed, and when the last one ended.
+    failing: (f64, Option<Instant>),
 }
 
 impl Default for Gate {
@@ -169,6 +183,7 @@
             waiting: BTreeMap::new(),
             numbers: 0,
             short: None,
+            failing: (0.0, None),
         }
     }
 }
@@ -217,6 +232,10 @@
         if ask.deadline <= now {
             return Entry::Refuse(ErrorKind::DeadlineExceeded);
         }
+        // Others are asked first; if they hand it back, too, it may start here.
+        if ask.once && !ask.any_moment && self.failing(now) > FAILING {
+            return Entry::Refuse(ErrorKind::Overloaded);
+        }
         let patient = ask.wait_until > now;
         let limit = match (ask.value, patient) {
             (Value::Spare, _) if self.cold.is_some() => return Entry::Refuse(ErrorKind::Cold),
@@ -281,6 +300,21 @@
         }
     }
 
+    /// Takes note of how a run has ended; `failed` if no good answer came from the upstream.
+    pub fn on_end(&mut self, failed: bool, now: Instant) {
+        let result = if failed { 1.0 } else { 0.0 };
+        let known = self.failing(now);
+        self.failing = (known + (result - known) * FAILING_GAIN, Some(now));
+    }
+
+    /// Returns the share of lately ended runs that failed. What is known fades, so that an upstream
+    /// that was passed by is tried again.
+    fn failing(&self, now: Instant) -> f64 {
+        let (known, at) = self.failing;
+        let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        known * (-age.as_secs_f64() / FAILING_MEMORY.as_secs_f64()).exp()
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -57,6 +57,7 @@
             wait_until: now + kind.objective.mul_f64(0.6),
             any_moment: false,
             value: Value::Timely,
+            once: false,
         };
         match gate.arrive(ask, now) {
             Entry::Run => {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -52,10 +52,17 @@
     stopping: bool,
     evidence: Evidence,
     next_health: Option<Instant>,
-    running: Vec<Arc<str>>,
+    running: Vec<Running>,
     vetoed: bool,
 }
 
+/// A request that the upstream runs.
+struct Running {
+    id: Arc<str>,
+    /// Whether the upstream has made calls for it.
+    calls: bool,
+}
+
 /// What an owner is made of.
 pub struct OwnerConfig {
     /// Its node.
@@ -90,7 +97,7 @@
     fn drop(&mut self) {
         let mut inner = self.owner.lock();
         inner.gate.release(self.run_time);
-        if let Some(index) = inner.running.iter().position(|id| id == self.id) {
+        if let Some(index) = inner.running.iter().position(|run| run.id == *self.id) {
             inner.running.swap_remove(index);
         }
         drop(inner);
@@ -210,9 +217,11 @@
     /// Returns the request that the upstream runs and on whose behalf it sends the one with `id`:
     /// ids of such calls start with the id of the request that they serve.
     pub fn parent_of(&self, id: &str) -> Option<Arc<str>> {
-        let inner = self.lock();
-        let serves = |parent: &&Arc<str>| id.len() > parent.len() && id.starts_with(&***parent);
-        inner.running.iter().find(serves).cloned()
+        let mut inner = self.lock();
+        let serves = |run: &&mut Running| id.len() > run.id.len() && id.starts_with(&*run.id);
+        let run = inner.running.iter_mut().find(serves)?;
+        run.calls = true;
+        Some(run.id.clone())
     }
 
     /// Returns the evidence on the upstream's version.
@@ -251,7 +260,8 @@
         let now = self.clock.now();
         let wait_until = (now + offer.patience.min(REMAINING_MAX)).min(deadline);
         let Offer { rank, any_moment, value, .. } = *offer;
-        let ask = Ask { rank, deadline, wait_until, any_moment, value };
+        let once = !may_repeat(offer.repeat);
+        let ask = Ask { rank, deadline, wait_until, any_moment, value, once };
         let entry = self.lock().gate.arrive(ask, now);
         match entry {
             Entry::Run => {}
@@ -262,7 +272,7 @@
                 }
             }
         }
-        self.lock().running.push(offer.id.clone());
+        self.lock().running.push(Running { id: offer.id.clone(), calls: false });
         let mut slot = Slot { owner: self, id: &offer.id, run_time: None };
         let started = self.clock.now();
         let end = self.run(offer, deadline).await;
@@ -452,6 +462,14 @@
             End::Answered(_) | End::Unknown(_) => None,
             End::NotRun { .. } => return,
         };
+        {
+            let mut inner = self.lock();
+            let calls = inner.running.iter().any(|run| run.id == offer.id && run.calls);
+            // A failure of a request that made calls may be that of another service.
+            if result.is_some() || !calls || matches!(end, End::Unknown(_)) {
+                inner.gate.on_end(result.is_none(), self.clock.now());
+            }
+        }
         let unproved = self.world().is_unproved(&known.service, &known.version);
         {
             let mut inner = self.lock();
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -33,14 +33,16 @@
 /// Time between the answer to a watch and the next watch, in which further changes gather, since
 /// each watch is a call that costs. A configuration is to be in force two seconds after its
 /// acknowledgement.
-const GATHER: Duration = Duration::from_millis(1_000);
+const GATHER: Duration = Duration::from_millis(1_400);
 
-/// The same while news is urgent: during a rollout, and right after the start, when other nodes
-/// start, too.
-const GATHER_URGENT: Duration = Duration::from_millis(250);
+/// The same during a rollout, where a bad version gets requests until the news is there.
+const GATHER_IN_ROLLOUT: Duration = Duration::from_millis(400);
 
-/// Time after the start of the process for which news is urgent.
-const START_TIME: Duration = Duration::from_secs(4);
+/// The same right after the start, when other nodes start, too.
+const GATHER_AT_START: Duration = Duration::from_millis(250);
+
+/// Time after the start of the process for which other nodes may be starting, too.
+const START_TIME: Duration = Duration::from_millis(1_500);
 
 /// Wait of a watch while the store is in doubt.
 const DOUBT_WAIT: Duration = Duration::from_millis(300);
@@ -157,9 +159,13 @@
         }
     }
 
+    /// Returns how long changes gather before the next watch.
     fn gather(&self) -> Duration {
-        let starting = self.shared.clock.now().saturating_duration_since(self.started) < START_TIME;
-        if starting || self.shared.world().is_in_rollout() { GATHER_URGENT } else { GATHER }
+        let age = self.shared.clock.now().saturating_duration_since(self.started);
+        if age < START_TIME {
+            return GATHER_AT_START;
+        }
+        if self.shared.world().is_in_rollout() { GATHER_IN_ROLLOUT } else { GATHER }
     }
 
     fn forget_missing(&self, items: &[Item]) {
