Do not blame a version for routes without history; hand the lead over at a stop

Running out of time counts as slow, the old version's other routes stand in for a route with few answers, and a leader gives its key up at SIGTERM.

--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -114,6 +114,9 @@
 /// Chance of a result this bad of a good version at which the share does not grow.
 const SUSPECTED: f64 = 0.05;
 
+/// Fewest answers of the old version on a route that tell its usual rate of failures.
+const FEWEST_KNOWN: u64 = 10;
+
 /// Fewest answers of the new version before the last step.
 const FEWEST_ANSWERS: u64 = 12;
 
@@ -243,10 +246,12 @@
 /// counts as bad.
 pub fn judge(evidence: &Evidence, new: &VersionName, found: f64) -> Finding {
     let mut old: BTreeMap<&Arc<str>, Counts> = BTreeMap::new();
+    let mut all = Counts::default();
     for (version, routes) in &evidence.0 {
         if version != new {
             for (route, counts) in routes {
                 old.entry(route).or_default().merge(counts);
+                all.merge(counts);
             }
         }
     }
@@ -255,7 +260,7 @@
         answers += counts.ended;
         let none = Counts::default();
         let known = old.get(route).unwrap_or(&none);
-        for (what, bad, of, usual) in measures(counts, known) {
+        for (what, bad, of, usual) in measures(counts, known, &all) {
             let chance = tail(bad, of, usual);
             if chance < found {
                 return Finding::Bad(format!("{bad} of {of} `{route}` requests {what}"));
@@ -268,9 +273,12 @@
 
 type Measured = (&'static str, u64, u64, f64);
 
-fn measures(new: &Counts, old: &Counts) -> impl Iterator<Item = Measured> {
+/// Returns what is compared on a route; `all` are the old version's answers on all routes, which
+/// stand in where it has few on this one.
+fn measures(new: &Counts, old: &Counts, all: &Counts) -> impl Iterator<Item = Measured> {
     let rate = |bad: u64, of: u64| (bad as f64 + 0.5) / (of as f64 + 1.0);
-    let usual = if old.ended >= 10 { rate(old.failed, old.ended) * 1.5 } else { 0.0 };
+    let known = if old.ended >= FEWEST_KNOWN { old } else { all };
+    let usual = if known.ended > 0 { rate(known.failed, known.ended) * 1.5 } else { 0.0 };
     let failures = ("failed", new.failed, new.ended, usual.max(LEAST_FAILURES).min(0.9));
     let slow = old.three_quarters().filter(|_| old.timed() >= 8).map(|bucket| {
         let from = bucket + SLOW_BUCKETS;
--- a/crates/mesh/tests/mesh/rollout.rs
+++ b/crates/mesh/tests/mesh/rollout.rs
@@ -64,6 +64,22 @@
     assert_eq!(judged(&Evidence::default()), Finding::Good(0));
 }
 
+/// Guards against a version that is blamed for a route on which hardly anything succeeds: the old
+/// version's other routes stand in while little is known of it there.
+#[test]
+fn a_route_without_history_is_judged_by_the_others() {
+    let rare: Arc<str> = "rare".into();
+    let mut evidence = evidence((200, 60), (40, 12), 200);
+    for _ in 0..4 {
+        evidence.record(&v("v2"), &rare, None);
+    }
+    assert!(!matches!(judge(&evidence, &v("v2"), FOUND), Finding::Bad(_)));
+    for _ in 0..20 {
+        evidence.record(&v("v2"), &rare, None);
+    }
+    assert!(matches!(judge(&evidence, &v("v2"), FOUND), Finding::Bad(_)));
+}
+
 /// Guards against answers before a change of load that hide what comes after it.
 #[test]
 fn a_window_shows_what_came_since() {
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -196,6 +196,11 @@
         self.leads.lock().unwrap_or_else(PoisonError::into_inner).get(service).copied()
     }
 
+    /// Returns all services whose rollouts this process leads, with those revisions.
+    pub fn leads(&self) -> BTreeMap<ServiceName, u64> {
+        self.leads.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Sets the revision with which this process took the lead of a service's rollouts.
     pub fn set_leads_since(&self, service: &ServiceName, revision: u64) {
         let mut leads = self.leads.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -30,6 +30,9 @@
 };
 use crate::node::timer::Timers;
 
+/// Status with which an upstream answers at a request's deadline.
+const STATUS_DEADLINE: u16 = 504;
+
 /// Longest wait for a connection to the upstream, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -457,8 +460,11 @@
     }
 
     fn record(&self, offer: &Offer, known: &Announcement, end: &End, run_time: Duration) {
+        // Running out of time is a matter of speed: some requests take longer than they may.
         let result = match end {
             End::Answered(answer) if answer.status < 500 => Some(run_time),
+            End::Answered(answer) if answer.status == STATUS_DEADLINE => Some(run_time),
+            End::Unknown(ErrorKind::UpstreamTimeout) => Some(run_time),
             End::Answered(_) | End::Unknown(_) => None,
             End::NotRun { .. } => return,
         };
--- a/src/mesh/rollout.rs
+++ b/src/mesh/rollout.rs
@@ -73,6 +73,9 @@
     pub async fn run(mut self) {
         loop {
             self.shared.timers.at(self.shared.clock.now() + LOOK).await;
+            if self.shared.is_stopping() {
+                return self.resign().await;
+            }
             let Some((service, heard)) = self.open_order() else {
                 self.evidence.clear();
                 self.leaderless = None;
@@ -84,11 +87,22 @@
         }
     }
 
+    /// Gives the lead up, so that another node takes over at once.
+    async fn resign(&self) {
+        for (service, revision) in self.shared.leads() {
+            let key = format!("{LEADER_PREFIX}{service}");
+            let transaction = Transaction {
+                conditions: vec![(key.clone(), revision)],
+                writes: Vec::new(),
+                removals: vec![key],
+            };
+            let answer = self.shared.store.call(&Call::Write(transaction)).await;
+            log::info!(service = service.as_str(), answer:? = answer; "gives up the lead");
+        }
+    }
+
     /// Returns the order for this node's service if it is not carried out yet.
     fn open_order(&self) -> Option<(ServiceName, HeardOrder)> {
-        if self.shared.is_stopping() {
-            return None;
-        }
         let service = self.shared.owner.known()?.service;
         let world = self.shared.world();
         let heard = world.orders.get(&service)?;
