--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -5,13 +5,17 @@
 use argh::FromArgs;
 
 use super::failure;
-use crate::settings::{LoadError, Settings};
+use crate::settings::{LoadError, Settings, mesh::MeshSettings};
 
 /// Check a settings file and report all errors in it.
 #[derive(Debug)]
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
+    /// the file is one of a mesh node
+    #[argh(switch)]
+    mesh: bool,
+
     /// settings file
     #[argh(positional)]
     file: PathBuf,
@@ -19,8 +23,12 @@
 
 impl Check {
     pub(super) fn run(self) -> ExitCode {
-        match Settings::load(&self.file) {
-            Ok(_) => {
+        let checked = match self.mesh {
+            true => MeshSettings::load(&self.file).map(drop),
+            false => Settings::load(&self.file).map(drop),
+        };
+        match checked {
+            Ok(()) => {
                 println!("{}: no errors", self.file.display());
                 ExitCode::SUCCESS
             }
--- a/src/settings/guide.rs
+++ b/src/settings/guide.rs
@@ -2,7 +2,10 @@
 
 use std::fmt::Write;
 
-use super::table::{KEYS, Key};
+use super::{
+    mesh,
+    table::{KEYS, Key},
+};
 
 const HEAD: &str = "\
 # Settings
@@ -46,11 +49,31 @@
 | `objective SHARE` | share of requests that get a correct answer within their deadline | 99.9% |
 ";
 
-/// Returns the page as Markdown.
+const MESH_HEAD: &str = "\
+# Settings of mesh nodes
+
+<!-- Generated from src/settings/mesh.rs; `UPDATE_GUIDE=1 cargo test --test cli` rewrites it. -->
+
+`oleandertiller mesh` reads one INI file, which the platform fills in from the template
+`deploy/settings.ini.template`. `oleandertiller check --mesh FILE` reports every error in a file at
+once. A changed file is compared and reported at SIGHUP; ports and names come into force with the next
+process. A key that has no default must be stated.
+";
+
+/// Returns the page on nodes as Markdown.
 pub fn page() -> String {
-    let mut page = HEAD.to_owned();
+    tables(HEAD, KEYS) + TAIL
+}
+
+/// Returns the page on mesh nodes as Markdown.
+pub fn mesh_page() -> String {
+    tables(MESH_HEAD, mesh::KEYS)
+}
+
+fn tables(head: &str, keys: &[Key]) -> String {
+    let mut page = head.to_owned();
     let mut section = "";
-    for key in KEYS {
+    for key in keys {
         if key.section != section {
             section = key.section;
             let _ = write!(page, "\n## `[{section}]`\n\n");
@@ -58,7 +81,6 @@
         }
         page.push_str(&row(key));
     }
-    page.push_str(TAIL);
     page
 }
 
--- a/tests/cli/guide.rs
+++ b/tests/cli/guide.rs
@@ -25,6 +25,12 @@
     check_generated("settings.md", &settings::guide::page());
 }
 
+/// Guards against a page on mesh settings that lags behind their table of keys.
+#[test]
+fn mesh_settings_page_is_current() {
+    check_generated("mesh-settings.md", &settings::guide::mesh_page());
+}
+
 /// Guards against an errors page that lags behind the table of error kinds.
 #[test]
 fn errors_page_is_current() {
