--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -103,6 +103,10 @@
 /// Lowest rate of slow answers that is taken for the old version.
 const LEAST_SLOW: f64 = 0.12;
 
+/// Highest rate of failures or slow answers that is taken for the old version; beyond it nothing can
+/// be told.
+const MOST_USUAL: f64 = 0.9;
+
 /// Chance of a result this bad of a good version at which it counts as bad. Each of a few routes is
 /// looked at some thirty times in a rollout.
 pub const FOUND: f64 = 1e-4;
@@ -171,14 +175,14 @@
         self.run_times.iter().map(|count| u64::from(*count)).sum()
     }
 
-    fn from_bucket(&self, bucket: usize) -> u64 {
+    fn slower_than(&self, bucket: usize) -> u64 {
         self.run_times.iter().skip(bucket).map(|count| u64::from(*count)).sum()
     }
 
     /// Returns the bucket under which three quarters of the answers lie.
     fn three_quarters(&self) -> Option<usize> {
         let timed = self.timed();
-        (timed > 0).then(|| (0..BUCKETS).find(|b| self.from_bucket(b + 1) * 4 <= timed))?
+        (timed > 0).then(|| (0..BUCKETS).find(|b| self.slower_than(b + 1) * 4 <= timed))?
     }
 }
 
@@ -279,12 +283,12 @@
     let rate = |bad: u64, of: u64| (bad as f64 + 0.5) / (of as f64 + 1.0);
     let known = if old.ended >= FEWEST_KNOWN { old } else { all };
     let usual = if known.ended > 0 { rate(known.failed, known.ended) * 1.5 } else { 0.0 };
-    let failures = ("failed", new.failed, new.ended, usual.max(LEAST_FAILURES).min(0.9));
+    let failures = ("failed", new.failed, new.ended, usual.clamp(LEAST_FAILURES, MOST_USUAL));
     let slow = old.three_quarters().filter(|_| old.timed() >= 8).map(|bucket| {
         let from = bucket + SLOW_BUCKETS;
-        let usual = rate(old.from_bucket(from), old.timed()) * 1.5;
-        let usual = usual.max(LEAST_SLOW).min(0.9);
-        ("were far slower than before", new.from_bucket(from), new.timed(), usual)
+        let usual = rate(old.slower_than(from), old.timed()) * 1.5;
+        let usual = usual.clamp(LEAST_SLOW, MOST_USUAL);
+        ("were far slower than before", new.slower_than(from), new.timed(), usual)
     });
     std::iter::once(failures).chain(slow)
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -391,7 +391,7 @@
 async fn expire<C: Clock>(shared: Arc<Shared<C>>) {
     loop {
         let now: Instant = shared.clock.now();
-        for record in shared.world().expire(now) {
+        for record in shared.world().members.expire(now) {
             log::info!(peer = record.node.as_str(), incarnation = record.incarnation;
                 "node is taken as gone");
         }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -57,9 +57,6 @@
 /// Wait that a client is told while the node does not know a configuration.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
-/// Status with which a client is told that nothing may have come of its request in time.
-const STATUS_TIMEOUT: u16 = 504;
-
 /// Whether a connection carries another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -195,8 +192,12 @@
         }
     }
 
+    fn elapsed_ms(&self, since: Instant) -> u64 {
+        self.shared.clock.now().saturating_duration_since(since).as_millis() as u64
+    }
+
     fn log(&self, asked: &Asked, outcome: &Outcome) {
-        let ms = left(self.shared.clock.now(), asked.arrived).as_millis() as u64;
+        let ms = self.elapsed_ms(asked.arrived);
         let (status, why) = outcome.status_and_reason();
         self.shared.metrics.count(&asked.route.name, status, why, ms);
         log::info!(id = &*asked.id, route = &*asked.route.name, service = asked.service.as_str(),
@@ -207,7 +208,7 @@
     }
 
     fn log_gone(&self, asked: &Asked) {
-        let ms = left(self.shared.clock.now(), asked.arrived).as_millis() as u64;
+        let ms = self.elapsed_ms(asked.arrived);
         self.shared.metrics.count(&asked.route.name, 499, ErrorKind::Cancelled.answer().name, ms);
         log::info!(id = &*asked.id, route = &*asked.route.name, ms = ms;
             "request cancelled by its client");
@@ -218,7 +219,7 @@
         let why = refusal.kind.answer().name;
         log::info!(id = id, host = &*refusal.host, target = &*refusal.target, why = why,
             config = refusal.config; "request refused");
-        let ms = left(self.shared.clock.now(), arrived).as_millis() as u64;
+        let ms = self.elapsed_ms(arrived);
         self.shared.metrics.count("none", refusal.kind.answer().status, why, ms);
         Outcome::refused(refusal.kind, NO_CONFIG_RETRY)
     }
@@ -244,19 +245,14 @@
                     headers.set(header::REQUEST_ID, id);
                 }
                 headers.set("Content-Type", "text/plain");
-                let answer = failure.kind.answer();
-                let mut status = answer.status;
-                if failure.not_run && (status == STATUS_TIMEOUT || status == 502 || status == 503) {
-                    status = 503;
+                let (status, text) = (failure.status(), failure.kind.answer().text);
+                if status == 503 {
                     let left = left(outcome.deadline.unwrap_or(at), self.shared.clock.now());
                     let left = if left.is_zero() { failure.expected * 3 } else { left };
                     let wait = retry_after(failure.expected, left, rand::random());
                     headers.set("Retry-After", format!("{:.3}", wait.as_secs_f64()));
-                } else if status == 503 {
-                    // 503 would promise that the request has not run.
-                    status = 502;
                 }
-                encode_response(status, &headers, answer.text.as_bytes(), close)
+                encode_response(status, &headers, text.as_bytes(), close)
             }
         }
     }
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -59,6 +59,18 @@
     pub expected: Duration,
 }
 
+impl Failure {
+    /// Returns the status for the client. 503 promises that the request has not run and never will,
+    /// so it stands for every failure of which that is true and for no other.
+    pub fn status(&self) -> u16 {
+        match (self.kind.answer().status, self.not_run) {
+            (500.., true) => 503,
+            (503, false) => 502,
+            (status, _) => status,
+        }
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -81,14 +93,7 @@
     pub fn status_and_reason(&self) -> (u16, &'static str) {
         match &self.result {
             Ok(answer) => (answer.status, "answered"),
-            Err(Failure { kind, not_run: true, .. }) => match kind.answer().status {
-                502..=504 => (503, kind.answer().name),
-                status => (status, kind.answer().name),
-            },
-            Err(Failure { kind, .. }) => match kind.answer().status {
-                503 => (502, kind.answer().name),
-                status => (status, kind.answer().name),
-            },
+            Err(failure) => (failure.status(), failure.kind.answer().name),
         }
     }
 }
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -23,7 +23,7 @@
 use oleandertiller_platform::header;
 
 use super::{
-    http::{HttpConn, ResponseHead, encode_request},
+    http::{Headers, HttpConn, ResponseHead, encode_request},
     message::{Answer, End, Offer, Reply},
     state::{World, left},
     upstream::{Exchanged, Failed, Pool, Taken, exchange, health},
@@ -263,7 +263,7 @@
         let now = self.clock.now();
         let wait_until = (now + offer.patience.min(REMAINING_MAX)).min(deadline);
         let Offer { rank, any_moment, value, .. } = *offer;
-        let once = !may_repeat(offer.repeat);
+        let once = offer.repeat == Repeat::AtMostOnce;
         let ask = Ask { rank, deadline, wait_until, any_moment, value, once };
         let entry = self.lock().gate.arrive(ask, now);
         match entry {
@@ -370,7 +370,7 @@
         if head.headers.get(header::UPSTREAM_ID).is_some_and(|id| id != &*known.incarnation.id) {
             return;
         }
-        self.on_head(head, &known);
+        self.on_load(&head.headers);
         let cold = head.headers.get(header::COLD).and_then(header::read_millis);
         if let Some(cold) = cold {
             let rate = self.world().cold_rate(&known.service);
@@ -378,8 +378,9 @@
         }
     }
 
-    fn on_head(&self, head: &ResponseHead, _known: &Announcement) {
-        if let Some(figures) = head.headers.get(header::LOAD).and_then(header::read_load) {
+    /// Takes the load figures of an answer, if it has any.
+    fn on_load(&self, headers: &Headers) {
+        if let Some(figures) = headers.get(header::LOAD).and_then(header::read_load) {
             self.lock().gate.on_figures(figures, self.clock.now());
         }
     }
@@ -433,9 +434,7 @@
         if let Some((conn, idle)) = conn {
             self.pool.put(conn, known.address, now + idle);
         }
-        if let Some(figures) = answer.headers.get(header::LOAD).and_then(header::read_load) {
-            self.lock().gate.on_figures(figures, now);
-        }
+        self.on_load(&answer.headers);
         if answer.status == header::STATUS_OTHER_UPSTREAM {
             self.forget(&known.incarnation);
             return End::NotRun { why: ErrorKind::NoUpstream, arrived: false };
@@ -505,8 +504,3 @@
     answer.headers.remove("content-length");
     answer
 }
-
-/// Returns whether a request may be sent once more after it may have run.
-pub fn may_repeat(repeat: Repeat) -> bool {
-    repeat == Repeat::Idempotent
-}
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -206,14 +206,9 @@
     pub fn cold_rate(&self, service: &ServiceName) -> Option<f64> {
         self.config.as_ref()?.1.services.get(service)?.cold_per_second
     }
-
-    /// Returns the time for which a record that vanished is kept, at least.
-    pub fn expire(&mut self, now: Instant) -> Vec<Arc<Record>> {
-        self.members.expire(now)
-    }
 }
 
-/// Time left until `at`.
+/// Returns the time left until `at`; zero once it has passed.
 pub fn left(at: Instant, now: Instant) -> Duration {
     at.saturating_duration_since(now)
 }
