Count calls of repeated runs; earn the fixed repeats after a start

Servers shed half of their requests, and the calls that upstreams make in a repeated run are repeats, too, which no node counted; processes that were stopped in turn also took their part of the fixed number again. Ruled out: hedges, which stop when the budget is short.

Calls of repeated runs are counted (never withheld: their parent would be lost), and a process earns its part of the fixed number over its first window.

--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The bound is on a sliding window over all nodes: `ratio` times the requests, and a fixed number
 //! on top. Each node keeps to `ratio` times its own requests and an equal part of the fixed
-//! number, so the sum keeps to the bound whatever the others do.
+//! number, so the sum keeps to the bound whatever the others do. A process does not know what the one
+//! before it has used, so its part of the fixed number grows over its first window.
 
 use std::{
     collections::VecDeque,
@@ -28,14 +29,15 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     cfg: BudgetConfig,
+    started: Instant,
     requests: VecDeque<Instant>,
     repeats: VecDeque<Instant>,
 }
 
 impl RetryBudget {
-    /// Creates a budget that has seen no request.
-    pub fn new(cfg: BudgetConfig) -> Self {
-        Self { cfg, requests: VecDeque::new(), repeats: VecDeque::new() }
+    /// Creates the budget of a process that started at `started`.
+    pub fn new(cfg: BudgetConfig, started: Instant) -> Self {
+        Self { cfg, started, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
     /// Credits one request of a client.
@@ -48,7 +50,9 @@
     pub fn try_take(&mut self, nodes: usize, now: Instant) -> bool {
         self.expire(now);
         let earned = self.requests.len() as f64 * self.cfg.ratio;
-        let share = self.cfg.extra / nodes.max(1) as f64;
+        let age = now.saturating_duration_since(self.started).as_secs_f64();
+        let grown = (age / self.cfg.window.as_secs_f64()).min(1.0);
+        let share = self.cfg.extra * grown / nodes.max(1) as f64;
         if self.repeats.len() as f64 + 1.0 > (earned + share) * USED_PART {
             return false;
         }
@@ -56,6 +60,13 @@
         true
     }
 
+    /// Counts a request that is a repeat whether the bound allows it or not: a call that an upstream
+    /// makes in a repeated run, which would be for nothing without it.
+    pub fn count(&mut self, now: Instant) {
+        self.expire(now);
+        self.repeats.push_back(now);
+    }
+
     fn expire(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.repeats] {
             while times.front().is_some_and(|at| now.duration_since(*at) > self.cfg.window) {
--- a/crates/mesh/tests/mesh/budget.rs
+++ b/crates/mesh/tests/mesh/budget.rs
@@ -13,22 +13,27 @@
     #[test]
     fn the_fleet_keeps_to_the_bound(
         nodes in 1_usize..9,
-        steps in prop::collection::vec((0_usize..9, 0_u64..400, any::<bool>()), 1..600),
+        steps in prop::collection::vec((0_usize..9, 0_u64..400, 0_u8..21), 1..600),
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut budgets = vec![RetryBudget::new(CFG); nodes];
+        let mut budgets = vec![RetryBudget::new(CFG, start); nodes];
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-        for (node, pause, repeat) in steps {
+        for (node, pause, action) in steps {
             now += Duration::from_millis(pause);
             let budget = &mut budgets[node % nodes];
-            if repeat {
-                if budget.try_take(nodes, now) {
-                    repeats.push(now);
+            match action {
+                0..10 => {
+                    if budget.try_take(nodes, now) {
+                        repeats.push(now);
+                    }
                 }
-            } else {
-                budget.on_request(now);
-                requests.push(now);
+                10..20 => {
+                    budget.on_request(now);
+                    requests.push(now);
+                }
+                // A process is stopped and started anew.
+                _ => *budget = RetryBudget::new(CFG, now),
             }
         }
         for end in &repeats {
@@ -43,10 +48,21 @@
 /// Guards against a budget that never returns what has left its window.
 #[test]
 fn the_window_slides() {
-    let start = Instant::now();
-    let mut budget = RetryBudget::new(CFG);
+    let start = Instant::now() + CFG.window;
+    let mut budget = RetryBudget::new(CFG, start - CFG.window);
     let first = (0..100).filter(|_| budget.try_take(1, start)).count();
     assert!(first > 0);
     assert!(!budget.try_take(1, start + Duration::from_secs(9)));
     assert!(budget.try_take(1, start + Duration::from_secs(11)));
 }
+
+/// Guards against calls of repeated runs that are not counted and so go beyond the bound.
+#[test]
+fn what_cannot_be_withheld_is_counted() {
+    let start = Instant::now() + CFG.window;
+    let mut budget = RetryBudget::new(CFG, start - CFG.window);
+    for _ in 0..56 {
+        budget.count(start);
+    }
+    assert!(!budget.try_take(1, start));
+}
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -358,7 +358,7 @@
         health_gap: Duration::from_secs_f64(health_gap),
         body_max: ANSWER_MAX_BYTES,
     };
-    let world = Arc::new(Mutex::new(World::new(budget)));
+    let world = Arc::new(Mutex::new(World::new(budget, clock.now())));
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     Shared {
         incarnation: started.as_millis() as u64,
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -202,7 +202,7 @@
         self.shared.metrics.count(&asked.route.name, status, why, ms);
         log::info!(id = &*asked.id, route = &*asked.route.name, service = asked.service.as_str(),
             config = asked.config, status = status, why = why, ms = ms,
-            parent = asked.parent.as_deref().unwrap_or(""),
+            parent = asked.parent.as_ref().map_or("", |parent| &*parent.id),
             left_ms = left(asked.deadline, self.shared.clock.now()).as_millis() as u64,
             hops = &*outcome.hops; "request ended");
     }
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -141,6 +141,12 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether an upstream may have run the request already or runs it now.
+    fn is_again(&self) -> bool {
+        let progress = self.lock();
+        progress.ran || progress.arrivals > 0 || !progress.at.is_empty()
+    }
+
     fn note(&self, node: &NodeName, what: &str) {
         let hops = &mut self.lock().hops;
         if !hops.is_empty() {
@@ -188,7 +194,13 @@
     /// Serves a request to its end.
     pub(super) async fn run(&self, asked: &Asked) -> Outcome {
         let now = self.shared.clock.now();
-        self.shared.world().on_request(&asked.service, now);
+        {
+            let mut world = self.shared.world();
+            world.on_request(&asked.service, now);
+            if asked.parent.as_ref().is_some_and(|parent| parent.again) {
+                world.count_repeat(&asked.service, now);
+            }
+        }
         let tried = Tried::default();
         // One draw for all attempts, so that a repeat stays with the version that was picked.
         let draw = rand::random();
@@ -339,7 +351,7 @@
                 return (none, End::NotRun { why: ErrorKind::Overloaded, arrived: false });
             }
             let patience = ROUND_WAIT.min(left(end, now));
-            let offer = self.offer_for(asked, &record, patience, start);
+            let offer = self.offer_for(asked, tried, &record, patience, start);
             if let Some(ended) = self.ask(asked, tried, &record, offer).await {
                 return ended;
             }
@@ -368,7 +380,7 @@
             if self.shared.clock.now() >= asked.deadline {
                 return Round::HandedBack(states, ErrorKind::DeadlineExceeded);
             }
-            let offer = self.offer_for(asked, &record, Duration::ZERO, start);
+            let offer = self.offer_for(asked, tried, &record, Duration::ZERO, start);
             match self.send(&record, tried, &offer, asked.deadline).await {
                 Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state }) => {
                     tried.note(&record.node, kind.answer().name);
@@ -476,7 +488,14 @@
         candidates.iter().filter_map(|candidate| record(&candidate.node)).collect()
     }
 
-    fn offer_for(&self, asked: &Asked, record: &Record, patience: Duration, start: Start) -> Offer {
+    fn offer_for(
+        &self,
+        asked: &Asked,
+        tried: &Tried,
+        record: &Record,
+        patience: Duration,
+        start: Start,
+    ) -> Offer {
         let version = record.upstream.as_ref().map(|upstream| upstream.version.clone());
         Offer {
             id: asked.id.clone(),
@@ -485,6 +504,7 @@
             version: version.unwrap_or_else(|| "".into()),
             route: asked.route.name.clone(),
             repeat: asked.route.repeat,
+            again: tried.is_again(),
             rank: asked.route.rank,
             method: asked.method.clone(),
             target: asked.target.clone(),
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -10,7 +10,10 @@
 use oleandertiller_platform::header;
 
 use super::version_of;
-use crate::mesh::http::{Headers, RequestHead};
+use crate::mesh::{
+    http::{Headers, RequestHead},
+    owner::Parent,
+};
 
 /// Longest time for which a client waits.
 const DEADLINE_MAX: Duration = Duration::from_secs(3_600);
@@ -21,7 +24,7 @@
     /// Id of the client's attempt.
     pub id: Arc<str>,
     /// The request that the local upstream runs and for which it makes this call.
-    pub parent: Option<Arc<str>>,
+    pub parent: Option<Parent>,
     /// Its route.
     pub route: Arc<Route>,
     /// Version of the configuration that chose the route.
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -34,6 +34,8 @@
     pub route: Arc<str>,
     /// Whether the request may run more than once.
     pub repeat: Repeat,
+    /// Whether another upstream may have run it already.
+    pub again: bool,
     /// Urgency; 0 is the most urgent.
     pub rank: u32,
     /// HTTP method.
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -62,10 +62,21 @@
 /// A request that the upstream runs.
 struct Running {
     id: Arc<str>,
+    /// Whether another upstream may have run it already.
+    again: bool,
     /// Whether the upstream has made calls for it.
     calls: bool,
 }
 
+/// A request that the upstream runs and for which it makes a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Parent {
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Whether another upstream may have run it already.
+    pub again: bool,
+}
+
 /// What an owner is made of.
 pub struct OwnerConfig {
     /// Its node.
@@ -219,12 +230,12 @@
 
     /// Returns the request that the upstream runs and on whose behalf it sends the one with `id`:
     /// ids of such calls start with the id of the request that they serve.
-    pub fn parent_of(&self, id: &str) -> Option<Arc<str>> {
+    pub fn parent_of(&self, id: &str) -> Option<Parent> {
         let mut inner = self.lock();
         let serves = |run: &&mut Running| id.len() > run.id.len() && id.starts_with(&*run.id);
         let run = inner.running.iter_mut().find(serves)?;
         run.calls = true;
-        Some(run.id.clone())
+        Some(Parent { id: run.id.clone(), again: run.again })
     }
 
     /// Returns the evidence on the upstream's version.
@@ -275,7 +286,11 @@
                 }
             }
         }
-        self.lock().running.push(Running { id: offer.id.clone(), calls: false });
+        self.lock().running.push(Running {
+            id: offer.id.clone(),
+            again: offer.again,
+            calls: false,
+        });
         let mut slot = Slot { owner: self, id: &offer.id, run_time: None };
         let started = self.clock.now();
         let end = self.run(offer, deadline).await;
--- a/src/mesh/state.rs
+++ b/src/mesh/state.rs
@@ -51,11 +51,12 @@
     deadlines: HashMap<Arc<str>, Duration>,
     budgets: HashMap<ServiceName, RetryBudget>,
     budget: BudgetConfig,
+    started: Instant,
 }
 
 impl World {
     /// Creates a world of which nothing is known.
-    pub fn new(budget: BudgetConfig) -> Self {
+    pub fn new(budget: BudgetConfig, started: Instant) -> Self {
         Self {
             config: None,
             members: Members::default(),
@@ -69,6 +70,7 @@
             deadlines: HashMap::new(),
             budgets: HashMap::new(),
             budget,
+            started,
         }
     }
 
@@ -177,6 +179,12 @@
         self.budget(service).on_request(now);
     }
 
+    /// Counts a request that is a repeat although it is sent for the first time: a call of an
+    /// upstream in a repeated run.
+    pub fn count_repeat(&mut self, service: &ServiceName, now: Instant) {
+        self.budget(service).count(now);
+    }
+
     /// Takes a repeat out of the budget.
     pub fn take_repeat(&mut self, service: &ServiceName, now: Instant) -> bool {
         let nodes = self.members.most();
@@ -185,8 +193,8 @@
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let cfg = self.budget;
-        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg))
+        let (cfg, started) = (self.budget, self.started);
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg, started))
     }
 
     /// Returns the versions of a service that serve, by number of upstreams.
