Pass changes of the store on within a zone; count decisions and calls

Ruled out: longer gathering (a configuration has two seconds), reads that may be stale (seconds old). Now the first node of a zone by name watches, keeps the latest changes, and the others wait at it; a node whose source is silent, behind or in doubt watches the store itself. Values over 16 KB are named and read from the store.

Metrics on decisions by reason and on calls to the store, the upstream and peers came with it, to see these calls.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`upstream`]: what the upstream beside the node says of itself.
 //! - [`gate`]: when the owner hands a request to its upstream, queues it, or hands it back.
 //! - [`hedge`]: when a second owner is asked although the first may still answer.
+//! - [`news`]: where a node learns of changes in the store.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`budget`]: how many repeats this node may send.
 //! - [`rollout`]: which versions may serve, and whether a new version is good.
@@ -16,6 +17,7 @@
 pub mod gate;
 pub mod hedge;
 pub mod members;
+pub mod news;
 pub mod placement;
 pub mod returns;
 pub mod rollout;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -71,6 +71,11 @@
         self.retry_at.is_none_or(|at| now >= at)
     }
 
+    /// Returns whether the store holds the record.
+    pub fn is_listed(&self) -> bool {
+        self.unlisted.is_none()
+    }
+
     /// Returns whether the node has been sent any call.
     pub fn is_tried(&self) -> bool {
         self.tried
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod gate;
 mod load;
 mod members;
+mod news;
 mod placement;
 mod rollout;
 mod upstream;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod message;
 pub mod metrics;
+pub mod news;
 pub mod owner;
 pub mod register;
 pub mod rollout;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -27,6 +27,7 @@
     ingress::Ingress,
     message::{EVIDENCE_PATH, OFFER_PATH, Offer},
     metrics::Metrics,
+    news::{NEWS_PATH, NewsAsk, NewsDesk},
     owner::{Owner, OwnerConfig},
     register::Register,
     rollout::Rollouts,
@@ -89,8 +90,10 @@
     pub client: InnerClient<C>,
     /// The platform's store.
     pub store: Store<C>,
+    /// Changes for the other nodes of the zone.
+    pub news: NewsDesk,
     /// Metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Whether the process has been asked to stop.
     pub stopping: AtomicBool,
     /// Whether requests of clients are refused, because the process is about to end.
@@ -263,6 +266,11 @@
                 let _active = crate::node::accept::Counted::new(&self.0.active);
                 Some(codec::encode(&self.0.owner.offer(&offer).await))
             }
+            NEWS_PATH => {
+                let ask: NewsAsk = codec::decode(&body).ok()?;
+                let Shared { news, clock, timers, .. } = &*self.0;
+                Some(codec::encode(&news.answer(ask, clock, timers).await))
+            }
             EVIDENCE_PATH => Some(codec::encode(&self.0.owner.evidence())),
             _ => None,
         }
@@ -359,18 +367,26 @@
         body_max: ANSWER_MAX_BYTES,
     };
     let world = Arc::new(Mutex::new(World::new(budget, clock.now())));
+    let metrics = Arc::new(Metrics::default());
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     Shared {
         incarnation: started.as_millis() as u64,
-        owner: Arc::new(Owner::new(owner_cfg, clock.clone(), timers.clone(), world.clone())),
+        owner: Arc::new(Owner::new(
+            owner_cfg,
+            clock.clone(),
+            timers.clone(),
+            world.clone(),
+            metrics.clone(),
+        )),
         client: InnerClient::new(
             clock.clone(),
             timers.clone(),
             PEER_CONNECT_TIMEOUT,
             ANSWER_MAX_BYTES,
         ),
-        store: Store::new(settings.store.address, clock.clone()),
-        metrics: Metrics::default(),
+        store: Store::new(settings.store.address, clock.clone(), metrics.clone()),
+        news: NewsDesk::default(),
+        metrics,
         stopping: AtomicBool::new(false),
         refusing: AtomicBool::new(false),
         active: AtomicUsize::new(0),
@@ -387,11 +403,18 @@
     }
 }
 
-/// Drops the records of nodes that are taken as gone.
+/// Drops the records of nodes that are taken as gone, and counts those that are left.
 async fn expire<C: Clock>(shared: Arc<Shared<C>>) {
     loop {
         let now: Instant = shared.clock.now();
-        for record in shared.world().members.expire(now) {
+        let (gone, config, nodes) = {
+            let mut world = shared.world();
+            let gone = world.members.expire(now);
+            let config = world.config.as_ref().map_or(0, |(_, cfg)| cfg.version);
+            (gone, config, world.members.iter().count())
+        };
+        shared.metrics.set_known(config, nodes);
+        for record in gone {
             log::info!(peer = record.node.as_str(), incarnation = record.incarnation;
                 "node is taken as gone");
         }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -28,6 +28,7 @@
     daemon::Shared,
     http::{Headers, HttpConn, HttpError, RequestHead, encode_response, request_framing},
     message::Answer,
+    metrics::Decision,
     state::left,
 };
 use crate::node::accept::{Counted, accept};
@@ -200,6 +201,9 @@
         let ms = self.elapsed_ms(asked.arrived);
         let (status, why) = outcome.status_and_reason();
         self.shared.metrics.count(&asked.route.name, status, why, ms);
+        if let Err(failure) = &outcome.result {
+            self.shared.metrics.decided(Decision::Refuse, failure.kind.answer().name);
+        }
         log::info!(id = &*asked.id, route = &*asked.route.name, service = asked.service.as_str(),
             config = asked.config, status = status, why = why, ms = ms,
             parent = asked.parent.as_ref().map_or("", |parent| &*parent.id),
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -23,6 +23,7 @@
 use super::{Ingress, request::Asked};
 use crate::mesh::{
     message::{Answer, End, OFFER_PATH, Offer, Reply},
+    metrics::{Decision, Dependency},
     state::left,
 };
 
@@ -263,8 +264,10 @@
         }
         // The budget is asked first, so that an owner's consent is not wasted.
         if !self.shared.world().take_repeat(&asked.service, now) {
+            self.shared.metrics.decided(Decision::Hedge, "no-budget");
             return None;
         }
+        self.shared.metrics.decided(Decision::Hedge, "slow");
         tried.note(&self.shared.settings.node.name, "hedge");
         match self.round(asked, tried, draw, Start { any_moment: false, value: Value::Spare }).await
         {
@@ -302,10 +305,12 @@
                 progress.may_reach_another(asked)
             };
             let now = self.shared.clock.now();
-            let again = asked.is_repeatable()
-                && another
-                && now < asked.deadline
-                && self.shared.world().take_repeat(&asked.service, now);
+            let sense = asked.is_repeatable() && another && now < asked.deadline;
+            let again = sense && self.shared.world().take_repeat(&asked.service, now);
+            if sense {
+                let reason = if again { "failed" } else { "no-budget" };
+                self.shared.metrics.decided(Decision::Repeat, reason);
+            }
             // An upstream's own failure says more than a lost connection.
             let failed = match last {
                 Some(Ok(answer)) if failed.is_err() => Ok(answer),
@@ -351,6 +356,7 @@
                 return (none, End::NotRun { why: ErrorKind::Overloaded, arrived: false });
             }
             let patience = ROUND_WAIT.min(left(end, now));
+            self.shared.metrics.decided(Decision::Wait, why.answer().name);
             let offer = self.offer_for(asked, tried, &record, patience, start);
             if let Some(ended) = self.ask(asked, tried, &record, offer).await {
                 return ended;
@@ -539,6 +545,13 @@
         let answer = shared.client.request(record.inner, OFFER_PATH, message, deadline).await;
         let now = shared.clock.now();
         let decoded = answer.map(|bytes| codec::decode::<Reply>(&bytes));
+        let said = match &decoded {
+            Ok(Ok(_)) => "answered",
+            Ok(Err(_)) => "unreadable",
+            Err(oleandertiller_model::Outcome::NotRun(_)) => "not-reached",
+            Err(_) => "lost",
+        };
+        shared.metrics.called(Dependency::Peer, "offer", said, now.saturating_duration_since(sent));
         let unknown = |kind| Reply { end: End::Unknown(kind), state: NO_STATE };
         match decoded {
             Ok(Ok(reply)) => {
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -9,7 +9,7 @@
 use oleandertiller_model::{ErrorKind, NodeName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
 
-use super::http::Headers;
+use super::{http::Headers, metrics::Decision};
 
 /// Path of the stream on which a request is offered to an owner.
 pub const OFFER_PATH: &str = "/mesh/offer";
@@ -88,6 +88,19 @@
     Unknown(ErrorKind),
 }
 
+impl End {
+    /// Returns the owner's decision and its reason, for metrics.
+    pub fn decision(&self) -> (Decision, &'static str) {
+        match self {
+            Self::Answered(answer) if answer.status < 500 => (Decision::Run, "answered"),
+            Self::Answered(_) => (Decision::Run, "upstream-error"),
+            Self::Unknown(kind) => (Decision::Run, kind.answer().name),
+            Self::NotRun { arrived: true, .. } => (Decision::Run, "refused-by-upstream"),
+            Self::NotRun { why, .. } => (Decision::HandBack, why.answer().name),
+        }
+    }
+}
+
 /// Answer to an [`Offer`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -1,10 +1,17 @@
 //! Counters and histograms of a mesh node.
 
+use std::{
+    collections::BTreeSet,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -24,6 +31,78 @@
     route: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct DecisionLabels {
+    decision: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CallLabels {
+    dependency: &'static str,
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct DependencyLabels {
+    dependency: &'static str,
+}
+
+/// What a node decides about a request, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// An owner handed the request to its upstream; the reason says how that ended.
+    Run,
+    /// An owner handed the request back, unrun.
+    HandBack,
+    /// An ingress had a request wait at an owner.
+    Wait,
+    /// A second owner was asked while the first had the request.
+    Hedge,
+    /// A request was sent again after a failure.
+    Repeat,
+    /// An ingress refused or gave up a request.
+    Refuse,
+}
+
+impl Decision {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::HandBack => "hand-back",
+            Self::Wait => "wait",
+            Self::Hedge => "hedge",
+            Self::Repeat => "repeat",
+            Self::Refuse => "refuse",
+        }
+    }
+}
+
+/// What a node depends on, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dependency {
+    /// The platform's store.
+    Store,
+    /// The upstream beside the node.
+    Upstream,
+    /// Another node.
+    Peer,
+}
+
+impl Dependency {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Upstream => "upstream",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Routes that get series of their own; the rest is counted together, so that a configuration that
 /// grows does not grow the metrics without bound.
 const ROUTES_MAX: usize = 200;
@@ -33,7 +112,12 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     times: Family<RouteLabels, Histogram>,
-    routes: std::sync::Mutex<std::collections::BTreeSet<String>>,
+    decisions: Family<DecisionLabels, Counter>,
+    calls: Family<CallLabels, Counter>,
+    call_times: Family<DependencyLabels, Histogram>,
+    config: Gauge,
+    nodes: Gauge,
+    routes: Mutex<BTreeSet<String>>,
 }
 
 impl Default for Metrics {
@@ -44,9 +128,22 @@
             // 5 ms to 20 s.
             Histogram::new(exponential_buckets(0.005, 2.0, 13))
         });
+        let decisions = Family::<DecisionLabels, Counter>::default();
+        let calls = Family::<CallLabels, Counter>::default();
+        let call_times = Family::<DependencyLabels, Histogram>::new_with_constructor(|| {
+            // 1 ms to 16 s.
+            Histogram::new(exponential_buckets(0.001, 4.0, 8))
+        });
+        let (config, nodes) = (Gauge::default(), Gauge::default());
         registry.register("requests", "Requests that ended at the ingress", requests.clone());
         registry.register("request_seconds", "Time to the final answer", times.clone());
-        Self { registry, requests, times, routes: Default::default() }
+        registry.register("decisions", "Decisions on requests, by reason", decisions.clone());
+        registry.register("calls", "Calls to what the node depends on", calls.clone());
+        registry.register("call_seconds", "Time of these calls", call_times.clone());
+        registry.register("config_version", "Configuration in force, 0 for none", config.clone());
+        registry.register("nodes", "Nodes that this node knows", nodes.clone());
+        let routes = Mutex::default();
+        Self { registry, requests, times, decisions, calls, call_times, config, nodes, routes }
     }
 }
 
@@ -59,8 +156,34 @@
         self.times.get_or_create(&RouteLabels { route }).observe(ms as f64 / 1_000.0);
     }
 
+    /// Counts a decision; `reason` is one of a fixed set.
+    pub fn decided(&self, decision: Decision, reason: &'static str) {
+        let labels = DecisionLabels { decision: decision.name(), reason };
+        self.decisions.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call to a dependency; `call` and `outcome` are each one of a fixed set.
+    pub fn called(
+        &self,
+        dependency: Dependency,
+        call: &'static str,
+        outcome: &'static str,
+        time: Duration,
+    ) {
+        let dependency = dependency.name();
+        self.calls.get_or_create(&CallLabels { dependency, call, outcome }).inc();
+        let times = self.call_times.get_or_create(&DependencyLabels { dependency });
+        times.observe(time.as_secs_f64());
+    }
+
+    /// Sets what the node knows: the version of the configuration and the number of nodes.
+    pub fn set_known(&self, config: u64, nodes: usize) {
+        self.config.set(i64::try_from(config).unwrap_or(i64::MAX));
+        self.nodes.set(i64::try_from(nodes).unwrap_or(i64::MAX));
+    }
+
     fn label(&self, route: &str) -> String {
-        let mut routes = self.routes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if routes.contains(route) {
             return route.to_owned();
         }
--- /dev/null
+++ b/src/mesh/news.rs
@@ -0,0 +1,144 @@
+//! Passes changes of the store on to the other nodes of the zone.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use event_listener::Event as Wake;
+use oleandertiller_mesh::news::{History, Since};
+use oleandertiller_model::Clock;
+use oleandertiller_platform::store::Event;
+use serde::{Deserialize, Serialize};
+
+use crate::node::timer::Timers;
+
+/// Path of the `h2` stream on which a node waits for changes.
+pub const NEWS_PATH: &str = "/mesh/news";
+
+/// Longest wait for changes at another node. A node that dies in silence is noticed after it, and
+/// a configuration is to be in force two seconds after its acknowledgement.
+const WAIT: Duration = Duration::from_millis(800);
+
+/// Longest time from asking a node for changes to its answer: the wait, and what a slow processor
+/// adds.
+pub const ANSWER_TIME: Duration = Duration::from_millis(1_400);
+
+/// Largest value that is passed on, in bytes. Of larger ones only the key is named: the store has
+/// a faster network than an instance.
+const PASSED_MAX_BYTES: usize = 16 << 10;
+
+/// Asks for the changes after a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct NewsAsk {
+    /// Revision that is known.
+    pub after: u64,
+}
+
+/// A change as it is passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Passed {
+    /// The change.
+    Whole(Event),
+    /// The key of a value that is too large; the store holds it.
+    Key(String),
+}
+
+impl Passed {
+    fn new(event: &Event) -> Self {
+        match event {
+            Event::Put(item) if item.value.len() > PASSED_MAX_BYTES => Self::Key(item.key.clone()),
+            event => Self::Whole(event.clone()),
+        }
+    }
+}
+
+/// Answer to a [`NewsAsk`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum News {
+    /// The changes, none if the wait was over, and the revision to go on from.
+    Changes(Vec<Passed>, u64),
+    /// The changes after that revision are no longer kept.
+    Forgotten,
+    /// This node does not hear from the store itself.
+    NoSource,
+}
+
+struct State {
+    history: History<Passed>,
+    /// Whether this node waits at the store and has no reason to doubt it.
+    hears_store: bool,
+}
+
+/// The latest changes, for the other nodes of the zone.
+pub struct NewsDesk {
+    state: Mutex<State>,
+    wake: Wake,
+}
+
+impl Default for NewsDesk {
+    fn default() -> Self {
+        let state = State { history: History::new(0), hears_store: false };
+        Self { state: Mutex::new(state), wake: Wake::new() }
+    }
+}
+
+impl NewsDesk {
+    /// Begins anew after all keys were read.
+    pub fn begin(&self, revision: u64) {
+        self.lock().history = History::new(revision);
+    }
+
+    /// Says whether this node waits at the store.
+    pub fn set_hears_store(&self, hears: bool) {
+        let before = std::mem::replace(&mut self.lock().hears_store, hears);
+        if before && !hears {
+            self.wake.notify(usize::MAX);
+        }
+    }
+
+    /// Takes changes that lead to `revision`.
+    pub fn add(&self, events: &[Event], revision: u64) {
+        let passed = events.iter().map(|event| (event.revision(), Passed::new(event)));
+        self.lock().history.add(passed, revision);
+        if !events.is_empty() {
+            self.wake.notify(usize::MAX);
+        }
+    }
+
+    /// Answers a node that waits for changes.
+    pub async fn answer<C: Clock>(&self, ask: NewsAsk, clock: &C, timers: &Timers) -> News {
+        let end = clock.now() + WAIT;
+        loop {
+            let wake = self.wake.listen();
+            {
+                let state = self.lock();
+                if !state.hears_store {
+                    return News::NoSource;
+                }
+                match state.history.since(ask.after) {
+                    Since::Changes(changes, revision) if !changes.is_empty() => {
+                        return News::Changes(changes, revision);
+                    }
+                    Since::Forgotten => return News::Forgotten,
+                    _ if clock.now() >= end => {
+                        return News::Changes(Vec::new(), state.history.revision().max(ask.after));
+                    }
+                    _ => {}
+                }
+            }
+            // The time is looked at above.
+            let _ = timers.within(end, wake).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -25,6 +25,7 @@
 use super::{
     http::{Headers, HttpConn, ResponseHead, encode_request},
     message::{Answer, End, Offer, Reply},
+    metrics::{Dependency, Metrics},
     state::{World, left},
     upstream::{Exchanged, Failed, Pool, Taken, exchange, health},
 };
@@ -95,6 +96,7 @@
     clock: C,
     timers: Timers,
     world: Arc<Mutex<World>>,
+    metrics: Arc<Metrics>,
     inner: Mutex<Inner>,
     pool: Pool,
     health: async_std::sync::Mutex<Option<HttpConn>>,
@@ -135,7 +137,13 @@
 
 impl<C: Clock> Owner<C> {
     /// Creates the owner of an upstream that has not been heard yet.
-    pub fn new(cfg: OwnerConfig, clock: C, timers: Timers, world: Arc<Mutex<World>>) -> Self {
+    pub fn new(
+        cfg: OwnerConfig,
+        clock: C,
+        timers: Timers,
+        world: Arc<Mutex<World>>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let inner = Inner {
             upstream: Upstream::default(),
             gate: Gate::default(),
@@ -148,7 +156,7 @@
         };
         let health = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
-        Self { cfg, clock, timers, world, inner: Mutex::new(inner), pool, health }
+        Self { cfg, clock, timers, world, metrics, inner: Mutex::new(inner), pool, health }
     }
 
     /// Returns what the upstream has said of itself.
@@ -253,6 +261,8 @@
         let deadline = self.clock.now() + offer.remaining.min(REMAINING_MAX);
         let end = self.decide(offer, deadline).await;
         let state = self.state(offer);
+        let (decision, reason) = end.decision();
+        self.metrics.decided(decision, reason);
         // The ingress logs what it was told at each owner; a line here is for what it cannot know.
         let handed_back = matches!(end, End::NotRun { arrived: false, .. });
         if !handed_back && !matches!(end, End::Answered(_)) {
@@ -353,7 +363,11 @@
             let head = health(&mut conn, &path, address).await.ok()?;
             Some((conn, head))
         };
-        match self.timers.within(now + HEALTH_TIMEOUT, work).await.flatten() {
+        let result = self.timers.within(now + HEALTH_TIMEOUT, work).await.flatten();
+        let said = if result.is_some() { "answered" } else { "lost" };
+        let time = self.clock.now().saturating_duration_since(now);
+        self.metrics.called(Dependency::Upstream, "health", said, time);
+        match result {
             Some((conn, head)) => {
                 if !head.close {
                     *kept = Some(conn);
@@ -423,6 +437,12 @@
         let result = self.timers.within(deadline, work).await;
         let now = self.clock.now();
         let run_time = now.saturating_duration_since(started);
+        let said = match &result {
+            None => "timed-out",
+            Some(Err(_)) => "lost",
+            Some(Ok(_)) => "answered",
+        };
+        self.metrics.called(Dependency::Upstream, "request", said, run_time);
         let end = match result {
             None => End::Unknown(ErrorKind::UpstreamTimeout),
             Some(Err(Failed { why, .. })) => End::Unknown(why),
--- a/src/mesh/store.rs
+++ b/src/mesh/store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -10,7 +10,10 @@
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::{Answer, Call};
 
-use super::http::{Headers, HttpConn, HttpError, encode_request, response_framing};
+use super::{
+    http::{Headers, HttpConn, HttpError, encode_request, response_framing},
+    metrics::{Dependency, Metrics},
+};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,13 +48,28 @@
 pub struct Store<C> {
     clock: C,
     address: SocketAddr,
+    metrics: Arc<Metrics>,
     idle: Mutex<Vec<(HttpConn, Instant)>>,
 }
 
+/// Returns how a call ended, for metrics.
+fn outcome(result: &Result<Answer, StoreError>) -> &'static str {
+    match result {
+        Ok(Answer::Busy) => "busy",
+        Ok(Answer::Conflict(_)) => "conflict",
+        Ok(Answer::Forgotten) => "forgotten",
+        Ok(Answer::NoLease) => "no-lease",
+        Ok(_) => "done",
+        Err(StoreError::NotSent) => "not-sent",
+        Err(StoreError::Lost) => "lost",
+        Err(StoreError::Unreadable(_)) => "unreadable",
+    }
+}
+
 impl<C: Clock> Store<C> {
     /// Creates a client without connections.
-    pub fn new(address: SocketAddr, clock: C) -> Self {
-        Self { clock, address, idle: Mutex::default() }
+    pub fn new(address: SocketAddr, clock: C, metrics: Arc<Metrics>) -> Self {
+        Self { clock, address, metrics, idle: Mutex::default() }
     }
 
     /// Makes a call.
@@ -60,6 +78,14 @@
     ///
     /// Returns [`StoreError`] when there is no usable answer.
     pub async fn call(&self, call: &Call) -> Result<Answer, StoreError> {
+        let started = self.clock.now();
+        let result = self.send(call).await;
+        let time = self.clock.now().saturating_duration_since(started);
+        self.metrics.called(Dependency::Store, call.name(), outcome(&result), time);
+        result
+    }
+
+    async fn send(&self, call: &Call) -> Result<Answer, StoreError> {
         let conn = match self.take_idle() {
             Some(conn) => conn,
             None => {
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -1,4 +1,5 @@
-//! Follows the store: configuration, orders, rollouts and the records of all nodes.
+//! Follows the store: configuration, orders, rollouts and the records of all nodes. One node of a
+//! zone waits for changes at the store and the others at that node.
 
 use std::{
     pin::pin,
@@ -7,15 +8,21 @@
 };
 
 use futures_util::future::{Either, select};
-use oleandertiller_mesh::{members::Record, rollout::Plan};
-use oleandertiller_model::{Clock, NodeName, ServiceName, ZoneName};
+use oleandertiller_mesh::{members::Record, news::Sources, rollout::Plan};
+use oleandertiller_model::{Clock, NodeName, ServiceName, ZoneName, codec};
 use oleandertiller_platform::{
     config,
     rollout::{self, CONFIG_KEY, EVACUATION_PREFIX, ROLLOUT_PREFIX, STATUS_PREFIX},
     store::{Answer, Call, Event, Item},
 };
 
-use super::{daemon::Shared, register::RECORD_PREFIX, state::HeardOrder, store::StoreError};
+use super::{
+    daemon::Shared,
+    news::{ANSWER_TIME, NEWS_PATH, News, NewsAsk, Passed},
+    register::RECORD_PREFIX,
+    state::HeardOrder,
+    store::StoreError,
+};
 
 /// Start of all keys; one watch then hears of everything.
 const ALL: &str = "";
@@ -30,10 +37,13 @@
 /// probes; this bounds what they miss.
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 
+/// Wait of a watch of a node that has a source but got nothing from it: the next one is tried soon.
+const SOURCELESS_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time between the answer to a watch and the next watch, in which further changes gather, since
 /// each watch is a call that costs. A configuration is to be in force two seconds after its
 /// acknowledgement.
-const GATHER: Duration = Duration::from_millis(1_400);
+const GATHER: Duration = Duration::from_millis(1_000);
 
 /// The same during a rollout, where a bad version gets requests until the news is there.
 const GATHER_IN_ROLLOUT: Duration = Duration::from_millis(400);
@@ -59,13 +69,14 @@
     shared: Arc<Shared<C>>,
     started: Instant,
     failing: bool,
+    sources: Sources,
 }
 
 impl<C: Clock> Sync<C> {
     /// Creates a follower that has heard nothing.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
         let started = shared.clock.now();
-        Self { shared, started, failing: false }
+        Self { shared, started, failing: false, sources: Sources::default() }
     }
 
     /// Follows the store for the life of the process.
@@ -118,45 +129,138 @@
             self.put(item);
         }
         self.shared.review();
+        if let Some(revision) = from {
+            self.shared.news.begin(revision);
+        }
         from
     }
 
-    async fn watch(&mut self, mut revision: u64) {
-        loop {
-            // While the store is in doubt, a watch returns soon, so that silence is noticed soon.
-            let wait = if self.failing { DOUBT_WAIT } else { WATCH_WAIT };
-            let call = Call::Watch { prefix: ALL.to_owned(), after: revision, wait };
-            let work = self.shared.store.call(&call);
-            let answer = match select(pin!(work), pin!(self.shared.store_doubted())).await {
-                Either::Left((answer, _)) => answer,
-                Either::Right(_) => {
-                    log::info!(revision = revision; "watch given up, since a call went unanswered");
-                    Err(StoreError::Lost)
-                }
+    /// Follows changes from `revision` until some of them cannot be had any more.
+    async fn watch(&mut self, revision: u64) {
+        let mut known = Some(revision);
+        while let Some(revision) = known {
+            let source = self.source();
+            known = match &source {
+                None => self.watch_store(revision, WATCH_WAIT).await,
+                Some(source) => match self.ask(source, revision).await {
+                    Some(revision) => Some(revision),
+                    None => self.watch_store(revision, SOURCELESS_WAIT).await,
+                },
             };
-            self.note(answer.is_ok() && !matches!(answer, Ok(Answer::Busy)));
-            match answer {
-                Ok(Answer::Changes { events, revision: next }) => {
-                    revision = revision.max(next);
-                    let any = !events.is_empty();
-                    for event in events {
-                        match event {
-                            Event::Put(item) => self.put(item),
-                            Event::Removed { key, .. } => self.removed(&key),
-                        }
-                    }
-                    if any {
-                        self.shared.review();
-                        self.shared.timers.at(self.shared.clock.now() + self.gather()).await;
-                    }
+        }
+    }
+
+    fn source(&self) -> Option<Arc<Record>> {
+        let node = &self.shared.settings.node;
+        let world = self.shared.world();
+        self.sources.source(&world.members, &node.name, &node.zone, self.shared.clock.now())
+    }
+
+    /// Waits for changes at another node; returns the revision that they lead to.
+    async fn ask(&mut self, source: &Record, after: u64) -> Option<u64> {
+        let shared = self.shared.clone();
+        shared.news.set_hears_store(false);
+        let peer = source.node.as_str();
+        let until = shared.clock.now() + ANSWER_TIME;
+        let ask = codec::encode(&NewsAsk { after });
+        let answer = shared.client.request(source.inner, NEWS_PATH, ask, until).await;
+        match answer.map(|bytes| codec::decode::<News>(&bytes)) {
+            Ok(Ok(News::Changes(changes, revision))) => {
+                let events = self.whole(changes).await?;
+                self.apply(events, revision);
+                Some(revision)
+            }
+            Ok(Ok(other)) => {
+                log::info!(peer = peer, after = after, answer:? = other;
+                    "source has no news; asking the store");
+                None
+            }
+            Ok(Err(error)) => {
+                log::warn!(peer = peer, error:? = error; "news not readable; asking the store");
+                self.sources.on_silence(shared.clock.now());
+                None
+            }
+            Err(outcome) => {
+                log::info!(peer = peer, after = after, outcome:? = outcome;
+                    "source does not answer; asking the store");
+                self.sources.on_silence(shared.clock.now());
+                None
+            }
+        }
+    }
+
+    /// Returns the changes with the values that were too large to be passed on.
+    async fn whole(&mut self, changes: Vec<Passed>) -> Option<Vec<Event>> {
+        let mut events = Vec::with_capacity(changes.len());
+        for change in changes {
+            match change {
+                Passed::Whole(event) => events.push(event),
+                Passed::Key(key) => {
+                    let call = Call::List { prefix: key.clone(), after: None };
+                    let answer = self.shared.store.call(&call).await;
+                    let Ok(Answer::Listed { items, .. }) = answer else {
+                        log::info!(key = key, answer:? = answer; "value not read");
+                        self.note(false);
+                        return None;
+                    };
+                    events.extend(items.into_iter().filter(|item| item.key == key).map(Event::Put));
                 }
-                Ok(Answer::Forgotten) => {
-                    log::warn!(revision = revision; "store has dropped its history; reading anew");
-                    return;
+            }
+        }
+        Some(events)
+    }
+
+    /// Waits for changes at the store; returns the revision that they lead to, or `None` if the
+    /// store no longer has the changes.
+    async fn watch_store(&mut self, revision: u64, wait: Duration) -> Option<u64> {
+        self.shared.news.set_hears_store(!self.failing);
+        // While the store is in doubt, a watch returns soon, so that silence is noticed soon.
+        let wait = if self.failing { DOUBT_WAIT } else { wait };
+        let call = Call::Watch { prefix: ALL.to_owned(), after: revision, wait };
+        let shared = self.shared.clone();
+        let work = shared.store.call(&call);
+        let answer = match select(pin!(work), pin!(shared.store_doubted())).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => {
+                log::info!(revision = revision; "watch given up, since a call went unanswered");
+                Err(StoreError::Lost)
+            }
+        };
+        self.note(answer.is_ok() && !matches!(answer, Ok(Answer::Busy)));
+        self.shared.news.set_hears_store(!self.failing);
+        match answer {
+            Ok(Answer::Changes { events, revision: next }) => {
+                let any = !events.is_empty();
+                let revision = revision.max(next);
+                self.apply(events, revision);
+                if any {
+                    self.shared.timers.at(self.shared.clock.now() + self.gather()).await;
                 }
-                _ => self.pause().await,
+                Some(revision)
+            }
+            Ok(Answer::Forgotten) => {
+                log::warn!(revision = revision; "store has dropped its history; reading anew");
+                None
+            }
+            _ => {
+                self.pause().await;
+                Some(revision)
+            }
+        }
+    }
+
+    fn apply(&self, events: Vec<Event>, revision: u64) {
+        self.shared.news.add(&events, revision);
+        if events.is_empty() {
+            return;
+        }
+        for event in events {
+            match event {
+                Event::Put(item) => self.put(item),
+                Event::Removed { key, .. } => self.removed(&key),
             }
         }
+        self.shared.review();
     }
 
     /// Returns how long changes gather before the next watch.
