Judge versions by the time of their upstreams, not by the way to them

Cause of the good version that was taken back (known red): a trace of the judge's counts on a failing run (temper, slow: old servers a-1 and a-2, 3,555 and 6,621 answers, median bucket 9; new b-1 and b-2, 1,740 and 2,443, median bucket 10) shows the whole distribution of the new version shifted by half an octave. Clients call a-1 and a-2, so the old version's upstreams stand beside the ingress and the new one's one hop away; with work of 2 ms the hop is the difference. Ruled out: cold starts (not in these counts, they shift from the first window to the last) and load (it failed alone on an idle machine before).

The owner tells the service time on each reply, and the rollout's evidence uses it; the selector keeps the time at the ingress. Messages between nodes get version 2.

--- a/crates/bench/src/capacity/calls.rs
+++ b/crates/bench/src/capacity/calls.rs
@@ -133,6 +133,7 @@
         status: 200,
         content_type: Some("application/json".into()),
         body_len: 512,
+        service_time: Duration::from_millis(20),
         load: report(1_000_000),
     };
     CallBytes {
--- a/crates/model/src/codec.rs
+++ b/crates/model/src/codec.rs
@@ -4,7 +4,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Version of the messages between nodes; nodes refuse any other.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Largest encoded message, in bytes: a full intent document of up to 1 MB with room to spare.
 pub const MESSAGE_MAX_BYTES: usize = 2 << 20;
--- a/crates/model/src/message.rs
+++ b/crates/model/src/message.rs
@@ -91,6 +91,8 @@
     pub content_type: Option<String>,
     /// Length of the body that follows, in bytes.
     pub body_len: u64,
+    /// Time from the hand-over to the upstream to its answer; zero when it has not answered.
+    pub service_time: Duration,
     /// Load of the owner.
     pub load: LoadReport,
 }
--- a/src/node/ingress/attempts.rs
+++ b/src/node/ingress/attempts.rs
@@ -1,6 +1,9 @@
 //! Attempts at owners, with retries within the deadline and the budget.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use oleandertiller_model::{
@@ -88,7 +91,7 @@
                     version: Some(reply.load.version.clone()),
                     body,
                 };
-                end(picked, &answer, Some(reply.load), now);
+                end(picked, &answer, Some((reply.load, reply.service_time)), now);
                 answer
             }
             Err(outcome) => {
@@ -142,10 +145,10 @@
 
 /// Tells the selector about an attempt. A failure status is a whole answer for the client, but
 /// must not make an upstream that fails fast look good.
-fn end(picked: Picked<'_>, answer: &Answer, load: Option<LoadReport>, now: Instant) {
+fn end(picked: Picked<'_>, answer: &Answer, owner: Option<(LoadReport, Duration)>, now: Instant) {
     let failed = answer.outcome == Outcome::Done && answer.status >= FAILURE_STATUS;
     let outcome = if failed { Outcome::Unknown(ErrorKind::Internal) } else { answer.outcome };
-    picked.end(outcome, load, now);
+    picked.end(outcome, owner, now);
 }
 
 fn is_retryable(answer: &Answer, safety: Safety) -> bool {
--- a/src/node/ingress/keyed.rs
+++ b/src/node/ingress/keyed.rs
@@ -170,6 +170,8 @@
             status: answer.status,
             content_type: answer.content_type,
             body_len: answer.body.len() as u64,
+            // The keeper has told its own selector.
+            service_time: Duration::ZERO,
             load,
         };
         (head, answer.body)
--- a/src/node/ingress/route.rs
+++ b/src/node/ingress/route.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwap;
@@ -103,16 +103,18 @@
 }
 
 impl Picked<'_> {
-    /// Tells the selector how the attempt ended.
-    pub fn end(mut self, outcome: Outcome, load: Option<LoadReport>, now: Instant) {
+    /// Tells the selector and the rollout how the attempt ended, with the load and the service time
+    /// that the owner has told.
+    pub fn end(mut self, outcome: Outcome, owner: Option<(LoadReport, Duration)>, now: Instant) {
         self.ended = true;
-        self.tell(outcome, load, now);
+        self.tell(outcome, owner, now);
     }
 
-    fn tell(&self, outcome: Outcome, load: Option<LoadReport>, now: Instant) {
+    fn tell(&self, outcome: Outcome, owner: Option<(LoadReport, Duration)>, now: Instant) {
         let elapsed = now.saturating_duration_since(self.started);
+        let (load, service_time) = owner.unzip();
         if let Some(watch) = self.route.admission.watch()
-            && let Some(attempt) = attempt_of(outcome, load.as_ref(), elapsed)
+            && let Some(attempt) = attempt_of(outcome, load.as_ref(), service_time)
         {
             // The owner's own word is newer than what gossip says.
             let version = load.as_ref().map_or(&self.owner.version, |load| &load.version);
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicBool, Ordering},
     },
     task::Poll,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -152,9 +152,9 @@
             _ => self.attempt(call, deadline, body).await,
         };
         let mut load = self.load();
-        let (outcome, answer) = match ended {
-            Ok(answer) => (Outcome::Done, answer),
-            Err(outcome) => (outcome, no_answer()),
+        let (outcome, answer, service_time) = match ended {
+            Ok((answer, service_time)) => (Outcome::Done, answer, service_time),
+            Err(outcome) => (outcome, no_answer(), Duration::ZERO),
         };
         // An upstream may have been replaced between its announcement and its answer.
         if let Some(version) = answer.version.filter(|version| *version != load.version.as_str()) {
@@ -167,6 +167,7 @@
             status: answer.status,
             content_type: answer.content_type,
             body_len: answer.body.len() as u64,
+            service_time,
             load,
         };
         (head, answer.body)
@@ -177,7 +178,7 @@
         call: &CallHead,
         deadline: Instant,
         body: &[u8],
-    ) -> Result<Answer, Outcome> {
+    ) -> Result<(Answer, Duration), Outcome> {
         let mut slot = self.admit(call, deadline).await.map_err(Outcome::NotRun)?;
         let result = self.hand_over(&slot.upstream, call, deadline, body).await;
         let elapsed = self.clock.now().saturating_duration_since(slot.started);
@@ -190,7 +191,7 @@
             Err(Outcome::NotRun(ErrorKind::ConnectFailed)) => Ended::Failure(elapsed),
             Err(_) => Ended::Ignored,
         };
-        result
+        result.map(|answer| (answer, elapsed))
     }
 
     async fn hand_over(
--- a/src/node/rollout/watch.rs
+++ b/src/node/rollout/watch.rs
@@ -172,16 +172,19 @@
 const TOLERANCE: Duration = Duration::from_millis(500);
 
 /// Returns the attempt that an outcome stands for; `None` when it says nothing of the upstream.
+///
+/// The latency is the service time, which the owner measures: the way there differs between the
+/// upstream beside the ingress and those on other instances, and so between versions.
 pub fn attempt_of(
     outcome: Outcome,
     load: Option<&LoadReport>,
-    elapsed: Duration,
+    service_time: Option<Duration>,
 ) -> Option<Attempt> {
     match outcome {
         Outcome::Done if load.is_some_and(|load| load.lifecycle == Lifecycle::Cold) => {
             Some(Attempt::DoneCold)
         }
-        Outcome::Done => Some(Attempt::Done(elapsed)),
+        Outcome::Done => service_time.map(Attempt::Done),
         Outcome::NotRun(_) | Outcome::Unknown(ErrorKind::Cancelled) => None,
         Outcome::Unknown(_) => Some(Attempt::Failed),
     }
--- a/tests/testsuite/rollouts.rs
+++ b/tests/testsuite/rollouts.rs
@@ -6,6 +6,9 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use oleandertiller::node::rollout::watch::attempt_of;
+use oleandertiller_model::{ErrorKind, Lifecycle, LoadReport, Outcome, intent::Revision};
+use oleandertiller_rollout::Attempt;
 use serde_json::Value;
 
 use crate::processes::{Fleet, NodeProcess, Plan, STEP, wait_until};
@@ -138,6 +141,36 @@
     });
 }
 
+/// Guards against a version that is judged by the way to its upstreams: those of the old version
+/// may stand beside the ingress and those of the new one on other instances.
+#[test]
+fn a_version_is_judged_by_the_time_of_its_upstreams() {
+    let load = |lifecycle| LoadReport { lifecycle, ..report() };
+    let service_time = Some(Duration::from_millis(2));
+    let done = |load| attempt_of(Outcome::Done, Some(&load), service_time);
+    let expected = Attempt::Done(Duration::from_millis(2));
+    assert_eq!(done(load(Lifecycle::Serving)), Some(expected));
+    assert_eq!(done(load(Lifecycle::Cold)), Some(Attempt::DoneCold));
+    let lost = Outcome::Unknown(ErrorKind::ConnectionLost);
+    assert_eq!(attempt_of(lost, None, None), Some(Attempt::Failed));
+    let refused = Outcome::NotRun(ErrorKind::Overloaded);
+    assert_eq!(attempt_of(refused, None, None), None);
+}
+
+fn report() -> LoadReport {
+    LoadReport {
+        sequence: 1,
+        in_flight: 0,
+        limit: 4,
+        queued: 0,
+        queue_delay_us: 0,
+        service_time_us: 0,
+        lifecycle: Lifecycle::Serving,
+        version: "v2".into(),
+        revision: Revision(1),
+    }
+}
+
 /// Guards against a bad version that keeps getting requests, gets more than a small share, or
 /// whose failures reach clients.
 #[test]
