Take over the upstream of an earlier process; ask the store less while it is away

The record of the earlier process names the upstream, but only leaving ones were taken over, and the first record could be written before it was read. Now the record waits for the first reading of the store (0.4 s at most), and a serving upstream is taken over if its health check answers 200 with the same id. Test failed first: restarted_nodes_use_the_upstreams_that_they_knew.

Now nodes wait at their source while it is in doubt, 0.6 s at most, and renewals wait for the changes to arrive again, 1.5 s at most.

--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -28,6 +28,8 @@
     pub loses_answers: bool,
     /// Whether it never answers.
     pub hangs: bool,
+    /// Whether its health check fails.
+    pub unhealthy: bool,
     /// How long work takes, in percent of the usual time, as told with each answer.
     pub slowness: u32,
 }
@@ -35,7 +37,14 @@
 impl Default for Habits {
     fn default() -> Self {
         let work = Duration::from_millis(20);
-        Self { work, status: 200, loses_answers: false, hangs: false, slowness: 100 }
+        Self {
+            work,
+            status: 200,
+            loses_answers: false,
+            hangs: false,
+            unhealthy: false,
+            slowness: 100,
+        }
     }
 }
 
@@ -144,7 +153,9 @@
     async fn handle(&self, call: Call) -> Option<Response> {
         let habits = lock(&self.0.habits).clone();
         if call.path() == "health" {
-            return Some(self.told(text(StatusCode::Ok, ""), &habits));
+            let status =
+                if habits.unhealthy { StatusCode::ServiceUnavailable } else { StatusCode::Ok };
+            return Some(self.told(text(status, ""), &habits));
         }
         let expected = call.header("Oleandertiller-Expected-Instance");
         if expected.is_some_and(|id| id != self.0.id) {
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -15,7 +15,11 @@
 use bytes::Bytes;
 use event_listener::Event;
 use oleandertiller_mesh::{
-    budget::BudgetConfig, config::Config, members::Record, rollout::Exposure,
+    budget::BudgetConfig,
+    config::Config,
+    members::Record,
+    rollout::Exposure,
+    upstream::{Announcement, Stage},
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -107,6 +111,10 @@
     lease: Mutex<Option<u64>>,
     leads: Mutex<BTreeMap<ServiceName, u64>>,
     doubts: Event,
+    read: AtomicBool,
+    reads: Event,
+    away: AtomicBool,
+    returns: Event,
 }
 
 impl<C: Clock> Shared<C> {
@@ -235,12 +243,51 @@
         self.recorded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes over what an earlier process of this node knew of an upstream that was leaving.
-    pub fn inherit(&self, record: &Record) {
-        use oleandertiller_mesh::upstream::Stage;
-        let leaving = record.upstream.as_ref().filter(|u| u.stage != Stage::Serving);
-        if let Some(upstream) = leaving.filter(|_| self.owner.known().is_none()) {
-            self.owner.hear(upstream.clone());
+    /// Takes over what an earlier process of this node knew of its upstream: that it is leaving, or
+    /// that it serves, if it still does.
+    pub async fn inherit(&self, upstream: Announcement) {
+        if self.owner.known().is_some() {
+            return;
+        }
+        if upstream.stage == Stage::Serving {
+            self.owner.adopt(upstream).await;
+        } else {
+            self.owner.hear(upstream);
+        }
+    }
+
+    /// Says whether changes of the store fail to arrive.
+    pub fn set_store_away(&self, away: bool) {
+        self.away.store(away, Ordering::Relaxed);
+        if !away {
+            self.returns.notify(usize::MAX);
+        }
+    }
+
+    /// Returns whether changes of the store fail to arrive.
+    pub fn is_store_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed)
+    }
+
+    /// Waits until changes of the store arrive again.
+    pub async fn store_returned(&self) {
+        let heard = self.returns.listen();
+        if self.is_store_away() {
+            heard.await;
+        }
+    }
+
+    /// Says that the store has been read, so that the record in it may be replaced.
+    pub fn set_read(&self) {
+        self.read.store(true, Ordering::Relaxed);
+        self.reads.notify(usize::MAX);
+    }
+
+    /// Waits until the store has been read.
+    pub async fn store_read(&self) {
+        let heard = self.reads.listen();
+        if !self.read.load(Ordering::Relaxed) {
+            heard.await;
         }
     }
 }
@@ -394,6 +441,10 @@
         lease: Mutex::new(None),
         leads: Mutex::default(),
         doubts: Event::new(),
+        read: AtomicBool::new(false),
+        reads: Event::new(),
+        away: AtomicBool::new(false),
+        returns: Event::new(),
         recorded: Mutex::new(None),
         settings,
         clock,
--- a/src/mesh/news.rs
+++ b/src/mesh/news.rs
@@ -20,6 +20,10 @@
 /// a configuration is to be in force two seconds after its acknowledgement.
 const WAIT: Duration = Duration::from_millis(800);
 
+/// Longest wait for a node that itself waits for the store to answer again. What refuses that node
+/// may still serve this one.
+const DOUBT_WAIT: Duration = Duration::from_millis(600);
+
 /// Longest time from asking a node for changes to its answer: the wait, and what a slow processor
 /// adds.
 pub const ANSWER_TIME: Duration = Duration::from_millis(1_400);
@@ -70,10 +74,20 @@
     NoSource,
 }
 
+/// Whether a node has news of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hearing {
+    /// It waits at the store.
+    Store,
+    /// It waits for the store to answer again.
+    Doubt,
+    /// It waits at another node.
+    Peer,
+}
+
 struct State {
     history: History<Passed>,
-    /// Whether this node waits at the store and has no reason to doubt it.
-    hears_store: bool,
+    hearing: Hearing,
 }
 
 /// The latest changes, for the other nodes of the zone.
@@ -84,7 +98,7 @@
 
 impl Default for NewsDesk {
     fn default() -> Self {
-        let state = State { history: History::new(0), hears_store: false };
+        let state = State { history: History::new(0), hearing: Hearing::Peer };
         Self { state: Mutex::new(state), wake: Wake::new() }
     }
 }
@@ -95,10 +109,10 @@
         self.lock().history = History::new(revision);
     }
 
-    /// Says whether this node waits at the store.
-    pub fn set_hears_store(&self, hears: bool) {
-        let before = std::mem::replace(&mut self.lock().hears_store, hears);
-        if before && !hears {
+    /// Says where this node waits.
+    pub fn set_hearing(&self, hearing: Hearing) {
+        let before = std::mem::replace(&mut self.lock().hearing, hearing);
+        if before != hearing {
             self.wake.notify(usize::MAX);
         }
     }
@@ -114,25 +128,28 @@
 
     /// Answers a node that waits for changes.
     pub async fn answer<C: Clock>(&self, ask: NewsAsk, clock: &C, timers: &Timers) -> News {
-        let end = clock.now() + WAIT;
+        let started = clock.now();
         loop {
             let wake = self.wake.listen();
             {
                 let state = self.lock();
-                if !state.hears_store {
-                    return News::NoSource;
-                }
-                match state.history.since(ask.after) {
-                    Since::Changes(changes, revision) if !changes.is_empty() => {
-                        return News::Changes(changes, revision);
+                let waited = clock.now().saturating_duration_since(started);
+                match (state.hearing, state.history.since(ask.after)) {
+                    (Hearing::Peer, _) => return News::NoSource,
+                    (Hearing::Doubt, _) if waited >= DOUBT_WAIT => return News::NoSource,
+                    (Hearing::Doubt, _) => {}
+                    (Hearing::Store, Since::Forgotten) => return News::Forgotten,
+                    (Hearing::Store, Since::Changes(changes, to)) if !changes.is_empty() => {
+                        return News::Changes(changes, to);
                     }
-                    Since::Forgotten => return News::Forgotten,
-                    _ if clock.now() >= end => {
+                    (Hearing::Store, _) if waited >= WAIT => {
                         return News::Changes(Vec::new(), state.history.revision().max(ask.after));
                     }
-                    _ => {}
+                    (Hearing::Store, _) => {}
                 }
             }
+            let doubted = started + DOUBT_WAIT;
+            let end = if clock.now() < doubted { doubted } else { started + WAIT };
             // The time is looked at above.
             let _ = timers.within(end, wake).await;
         }
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -192,6 +192,36 @@
         heard
     }
 
+    /// Takes over an upstream that an earlier process of this node knew, if its health check says
+    /// that it is still there and serves.
+    pub async fn adopt(&self, news: Announcement) {
+        let path = {
+            let world = self.world();
+            let service =
+                world.config.as_ref().and_then(|(_, cfg)| cfg.services.get(&news.service));
+            let Some(service) = service else { return };
+            service.health_path.clone()
+        };
+        let until = self.clock.now() + HEALTH_TIMEOUT;
+        let work = async {
+            let mut conn = HttpConn::connect(news.address).await.ok()?;
+            health(&mut conn, &path, news.address).await.ok()
+        };
+        let head = self.timers.within(until, work).await.flatten();
+        let same = head.filter(|head| {
+            let id = head.headers.get(header::UPSTREAM_ID);
+            head.status == 200 && id == Some(&*news.incarnation.id)
+        });
+        log::info!(upstream = &*news.incarnation.id, adopted = same.is_some();
+            "upstream of an earlier process looked at");
+        let Some(head) = same else { return };
+        // It may have announced itself meanwhile.
+        if self.known().is_none() {
+            let cold_for = head.headers.get(header::COLD).and_then(header::read_millis);
+            self.hear(Announcement { cold_for: cold_for.unwrap_or_default(), ..news });
+        }
+    }
+
     /// Takes note that an upstream has left; returns whether it is the known one.
     pub fn leave(&self, id: &str, born: Option<u64>) -> bool {
         let left = self.lock().upstream.leave(id, born);
--- a/src/mesh/register.rs
+++ b/src/mesh/register.rs
@@ -1,6 +1,9 @@
 //! The node's own record in the store, under a lease.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_channel::Receiver;
 use oleandertiller_mesh::members::Record;
@@ -18,6 +21,13 @@
 /// Pause after a call that failed: entries are to be back within two seconds of the store's return.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
+/// The same while changes of the store do not arrive either; it ends early when they do.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Longest time for which the first record waits until the store has been read: the record of an
+/// earlier process tells of its upstream.
+const READ_TIME: Duration = Duration::from_millis(400);
+
 /// Keeps the record.
 pub struct Register<C: Clock> {
     shared: Arc<Shared<C>>,
@@ -36,6 +46,9 @@
     /// that something may have changed.
     pub async fn run(mut self, changed: Receiver<()>) {
         let life = self.shared.settings.store.lease.max(self.shared.settings.store.shortest_lease);
+        let read_end = self.shared.clock.now() + READ_TIME;
+        // Without the store's answer there is nothing to lose by the first record.
+        let _ = self.shared.timers.within(read_end, self.shared.store_read()).await;
         let mut renew_at = self.shared.clock.now();
         loop {
             let now = self.shared.clock.now();
@@ -48,7 +61,7 @@
             };
             self.note(kept);
             if !kept {
-                renew_at = self.shared.clock.now() + FAILURE_PAUSE;
+                renew_at = self.pause().await;
             }
             match self.shared.timers.within(renew_at, changed.recv()).await {
                 Some(Err(_)) => return self.end().await,
@@ -58,6 +71,17 @@
         }
     }
 
+    /// Waits after a call that failed; returns when the next is due.
+    async fn pause(&self) -> Instant {
+        let now = self.shared.clock.now();
+        if !self.shared.is_store_away() {
+            return now + FAILURE_PAUSE;
+        }
+        // Either end of the wait is a reason to try again.
+        let _ = self.shared.timers.within(now + OUTAGE_PAUSE, self.shared.store_returned()).await;
+        self.shared.clock.now()
+    }
+
     fn note(&mut self, kept: bool) {
         if kept == self.failing {
             self.failing = !kept;
--- a/src/mesh/sync.rs
+++ b/src/mesh/sync.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::future::{Either, select};
-use oleandertiller_mesh::{members::Record, news::Sources, rollout::Plan};
+use oleandertiller_mesh::{members::Record, news::Sources, rollout::Plan, upstream::Announcement};
 use oleandertiller_model::{Clock, NodeName, ServiceName, ZoneName, codec};
 use oleandertiller_platform::{
     config,
@@ -18,7 +18,7 @@
 
 use super::{
     daemon::Shared,
-    news::{ANSWER_TIME, NEWS_PATH, News, NewsAsk, Passed},
+    news::{ANSWER_TIME, Hearing, NEWS_PATH, News, NewsAsk, Passed},
     register::RECORD_PREFIX,
     state::HeardOrder,
     store::StoreError,
@@ -70,13 +70,15 @@
     started: Instant,
     failing: bool,
     sources: Sources,
+    /// What an earlier process of this node knew of its upstream.
+    inherited: Option<Announcement>,
 }
 
 impl<C: Clock> Sync<C> {
     /// Creates a follower that has heard nothing.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
         let started = shared.clock.now();
-        Self { shared, started, failing: false, sources: Sources::default() }
+        Self { shared, started, failing: false, sources: Sources::default(), inherited: None }
     }
 
     /// Follows the store for the life of the process.
@@ -97,6 +99,7 @@
     fn note(&mut self, heard: bool) {
         if heard == self.failing {
             self.failing = !heard;
+            self.shared.set_store_away(!heard);
             let event = if heard { "store answers" } else { "store does not answer" };
             log::warn!(dependency = "store", heard = heard; "{event}");
         }
@@ -128,6 +131,8 @@
         for item in all {
             self.put(item);
         }
+        self.take_over().await;
+        self.shared.set_read();
         self.shared.review();
         if let Some(revision) = from {
             self.shared.news.begin(revision);
@@ -135,6 +140,13 @@
         from
     }
 
+    /// Takes over what an earlier process of this node knew of its upstream.
+    async fn take_over(&mut self) {
+        if let Some(upstream) = self.inherited.take() {
+            self.shared.inherit(upstream).await;
+        }
+    }
+
     /// Follows changes from `revision` until some of them cannot be had any more.
     async fn watch(&mut self, revision: u64) {
         let mut known = Some(revision);
@@ -159,7 +171,7 @@
     /// Waits for changes at another node; returns the revision that they lead to.
     async fn ask(&mut self, source: &Record, after: u64) -> Option<u64> {
         let shared = self.shared.clone();
-        shared.news.set_hears_store(false);
+        shared.news.set_hearing(Hearing::Peer);
         let peer = source.node.as_str();
         let until = shared.clock.now() + ANSWER_TIME;
         let ask = codec::encode(&NewsAsk { after });
@@ -167,7 +179,8 @@
         match answer.map(|bytes| codec::decode::<News>(&bytes)) {
             Ok(Ok(News::Changes(changes, revision))) => {
                 let events = self.whole(changes).await?;
-                self.apply(events, revision);
+                self.note(true);
+                self.apply(events, revision).await;
                 Some(revision)
             }
             Ok(Ok(other)) => {
@@ -213,7 +226,7 @@
     /// Waits for changes at the store; returns the revision that they lead to, or `None` if the
     /// store no longer has the changes.
     async fn watch_store(&mut self, revision: u64, wait: Duration) -> Option<u64> {
-        self.shared.news.set_hears_store(!self.failing);
+        self.set_hearing();
         // While the store is in doubt, a watch returns soon, so that silence is noticed soon.
         let wait = if self.failing { DOUBT_WAIT } else { wait };
         let call = Call::Watch { prefix: ALL.to_owned(), after: revision, wait };
@@ -227,12 +240,12 @@
             }
         };
         self.note(answer.is_ok() && !matches!(answer, Ok(Answer::Busy)));
-        self.shared.news.set_hears_store(!self.failing);
+        self.set_hearing();
         match answer {
             Ok(Answer::Changes { events, revision: next }) => {
                 let any = !events.is_empty();
                 let revision = revision.max(next);
-                self.apply(events, revision);
+                self.apply(events, revision).await;
                 if any {
                     self.shared.timers.at(self.shared.clock.now() + self.gather()).await;
                 }
@@ -249,7 +262,12 @@
         }
     }
 
-    fn apply(&self, events: Vec<Event>, revision: u64) {
+    fn set_hearing(&self) {
+        let hearing = if self.failing { Hearing::Doubt } else { Hearing::Store };
+        self.shared.news.set_hearing(hearing);
+    }
+
+    async fn apply(&mut self, events: Vec<Event>, revision: u64) {
         self.shared.news.add(&events, revision);
         if events.is_empty() {
             return;
@@ -260,6 +278,7 @@
                 Event::Removed { key, .. } => self.removed(&key),
             }
         }
+        self.take_over().await;
         self.shared.review();
     }
 
@@ -284,7 +303,7 @@
         world.leaders.retain(|service, _| holds(LEADER_PREFIX, service.as_str()));
     }
 
-    fn put(&self, item: Item) {
+    fn put(&mut self, item: Item) {
         let key = item.key.as_str();
         if key == CONFIG_KEY {
             self.config(&item);
@@ -350,7 +369,7 @@
         world.config = Some((item.revision, Arc::new(cfg)));
     }
 
-    fn record(&self, node: &str, item: &Item) {
+    fn record(&mut self, node: &str, item: &Item) {
         let record: Record = match serde_json::from_slice(&item.value) {
             Ok(record) => record,
             Err(error) => {
@@ -361,7 +380,7 @@
         if record.node == self.shared.settings.node.name
             && record.incarnation != self.shared.incarnation
         {
-            self.shared.inherit(&record);
+            self.inherited = record.upstream;
             self.shared.rewrite();
             return;
         }
--- a/tests/mesh/processes.rs
+++ b/tests/mesh/processes.rs
@@ -5,7 +5,7 @@
 use async_std::task::{self, block_on};
 use oleandertiller_standin::platform::Outage;
 
-use crate::fleet::{Answer, Fleet, Output, call, config, until};
+use crate::fleet::{Answer, Fleet, Output, STEP, call, config, until};
 
 fn signature(answer: &Answer) -> Option<&str> {
     answer.headers.get("Oleandertiller-Response-Signature")
@@ -149,6 +149,39 @@
     });
 }
 
+/// Guards against nodes that cannot serve after their restart until their upstreams, which have run
+/// on, announce themselves again.
+#[test]
+fn restarted_nodes_use_the_upstreams_that_they_knew() {
+    block_on(async {
+        let mut fleet = Fleet::start(3).await;
+        for member in &mut fleet.members {
+            member.kill();
+        }
+        // An upstream that no longer is what it was must wait for its announcement.
+        fleet.members[2].upstream.change(|habits| habits.unhealthy = true);
+        for member in &mut fleet.members {
+            member.start(Output::Read);
+        }
+        let end = Instant::now() + STEP;
+        for member in &fleet.members {
+            while !member.is_ready().await {
+                assert!(Instant::now() < end, "{} is not ready", member.name);
+                task::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        // Both nodes have looked at their upstreams before they heard of each other.
+        task::sleep(Duration::from_millis(300)).await;
+        for n in 0..9 {
+            let id = format!("restarted-{n}");
+            let answer = fleet.ask(n % 3, "GET", "/read/1", &id).await.unwrap();
+            assert_eq!(answer.status, 200, "{id}");
+        }
+        assert!(fleet.members[2].upstream.runs().is_empty());
+        assert_eq!(fleet.members[2].announce("ready").await, 200);
+    });
+}
+
 /// Guards against a fleet that stops serving with its store, and against records that stay away
 /// when it returns: two seconds are allowed.
 #[test]
