Give a cold upstream its burst at its start

Cause: in the first second after a start a cold upstream was given one request and then its rate, though it had a pause before and bears a burst after any pause; the clients that had waited came back in that second. Ruled out: a higher rate (the users name the rate; a burst within half above it in any second is kept). Test failed first: a_cold_upstream_takes_a_burst_at_once (1 of 6); it checks any second, too.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -15,7 +15,8 @@
 use oleandertiller_model::ErrorKind;
 use serde::{Deserialize, Serialize};
 
-/// Requests that a cold upstream gets at once after a pause, as a part of those of a second.
+/// Requests that a cold upstream gets at once after a pause and at its start, as a part of those of a
+/// second. The users allow half more than the rate in any second.
 const COLD_BURST: f64 = 0.5;
 
 /// Part of the slots that is filled while other owners may have room: some upstreams slow down
@@ -222,7 +223,7 @@
                 self.cold = Some(ColdRate {
                     per_second,
                     until,
-                    tokens: 1.0,
+                    tokens: (per_second * COLD_BURST).max(1.0),
                     filled: now,
                     least_slowness: None,
                 });
--- a/crates/mesh/tests/mesh/gate.rs
+++ b/crates/mesh/tests/mesh/gate.rs
@@ -235,3 +235,28 @@
     gate.on_figures(slow(100), now);
     assert_eq!(gate.arrive(forced, now), Entry::Run);
 }
+
+/// Guards against an upstream that has just started and bears a burst, as after any pause, but is
+/// given one request; and against more in any second than half above its rate.
+#[test]
+fn a_cold_upstream_takes_a_burst_at_once() {
+    let start = Instant::now();
+    let mut gate = gate(50);
+    gate.set_cold(Duration::from_secs(3), Some(12.0), start);
+    let mut runs = Vec::new();
+    for millis in 0..3_000 {
+        let now = start + Duration::from_millis(millis);
+        if gate.arrive(ask(now, 0), now) == Entry::Run {
+            runs.push(now);
+            gate.release(None);
+        }
+    }
+    let first = runs.iter().filter(|run| **run < start + Duration::from_millis(10));
+    assert_eq!(first.count(), 6);
+    for from in &runs {
+        let second =
+            runs.iter().filter(|run| *run >= from && **run - *from < Duration::from_secs(1));
+        let count = second.count();
+        assert!(count <= 18, "{count} in a second");
+    }
+}
