Split what was tried and how it ended from the placing; test the passing of changes

Pure moves into src/mesh/ingress/outcome.rs and tried.rs; the control port logs a connection that it cannot prepare. New process tests, written after the change that they guard: one watch of a zone for each change, and changes that arrive in time when their source was killed or paused.

--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -60,7 +60,13 @@
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream, stop: Receiver<()>) {
-        let Ok(mut conn) = HttpConn::new(stream) else { return };
+        let mut conn = match HttpConn::new(stream) {
+            Ok(conn) => conn,
+            Err(error) => {
+                log::info!(error:% = error; "connection lost before its first message");
+                return;
+            }
+        };
         let timers = &self.shared.timers;
         loop {
             let idle_end = self.shared.clock.now() + IDLE_TIME;
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -1,7 +1,9 @@
 //! The ingress: requests of the clients and of the upstream of this instance.
 
+mod outcome;
 mod placing;
 mod request;
+mod tried;
 
 use std::{
     pin::pin,
@@ -20,7 +22,7 @@
 use oleandertiller_platform::header;
 
 use self::{
-    placing::Outcome,
+    outcome::Outcome,
     request::{Asked, Refusal},
 };
 use super::{
--- a/src/mesh/ingress/placing.rs
+++ b/src/mesh/ingress/placing.rs
@@ -7,7 +7,7 @@
 use std::{
     future::Future,
     pin::{Pin, pin},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -20,7 +20,12 @@
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
 
-use super::{Ingress, request::Asked};
+use super::{
+    Ingress,
+    outcome::{Failure, Outcome},
+    request::Asked,
+    tried::{At, Progress, Tried},
+};
 use crate::mesh::{
     message::{Answer, End, OFFER_PATH, Offer, Reply},
     metrics::{Decision, Dependency},
@@ -49,81 +54,6 @@
 /// Wait that is named when nothing is known of the next free slot.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
-/// Why a request has no answer of an upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Failure {
-    /// Why.
-    pub kind: ErrorKind,
-    /// Whether it has certainly not run.
-    pub not_run: bool,
-    /// When there may be room for it.
-    pub expected: Duration,
-}
-
-impl Failure {
-    /// Returns the status for the client. 503 promises that the request has not run and never will,
-    /// so it stands for every failure of which that is true and for no other.
-    pub fn status(&self) -> u16 {
-        match (self.kind.answer().status, self.not_run) {
-            (500.., true) => 503,
-            (503, false) => 502,
-            (status, _) => status,
-        }
-    }
-}
-
-/// How a request ended.
-#[derive(Clone, Debug)]
-pub struct Outcome {
-    /// The answer of an upstream, or why there is none.
-    pub result: Result<Answer, Failure>,
-    /// When the client stops waiting, if it is known.
-    pub deadline: Option<Instant>,
-    /// The owners that were asked and what they said, for the log.
-    pub hops: String,
-}
-
-impl Outcome {
-    /// Makes the outcome of a request that was not passed on.
-    pub fn refused(kind: ErrorKind, expected: Duration) -> Self {
-        let failure = Failure { kind, not_run: true, expected };
-        Self { result: Err(failure), deadline: None, hops: String::new() }
-    }
-
-    /// Returns the status for the client and the reason for logs.
-    pub fn status_and_reason(&self) -> (u16, &'static str) {
-        match &self.result {
-            Ok(answer) => (answer.status, "answered"),
-            Err(failure) => (failure.status(), failure.kind.answer().name),
-        }
-    }
-}
-
-/// What has been tried for one request, shared by its attempts.
-#[derive(Default)]
-struct Progress {
-    /// Upstreams that the request has reached.
-    arrivals: u32,
-    /// Whether it may have run.
-    ran: bool,
-    /// Owners that are not asked again.
-    excluded: Vec<NodeName>,
-    /// Owners that have the request now.
-    at: Vec<NodeName>,
-    /// When the last owner got it.
-    sent: Option<Instant>,
-    /// When a slot is expected, if the request was refused for want of one.
-    expected: Option<Duration>,
-    hops: String,
-}
-
-impl Progress {
-    /// Returns whether the request may reach one more upstream.
-    fn may_reach_another(&self, asked: &Asked) -> bool {
-        self.arrivals + (self.at.len() as u32) < asked.route.attempts
-    }
-}
-
 /// How a request may start.
 #[derive(Clone, Copy)]
 struct Start {
@@ -133,56 +63,6 @@
     value: Value,
 }
 
-/// What has been tried for one request.
-#[derive(Default)]
-struct Tried(Mutex<Progress>);
-
-impl Tried {
-    fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Returns whether an upstream may have run the request already or runs it now.
-    fn is_again(&self) -> bool {
-        let progress = self.lock();
-        progress.ran || progress.arrivals > 0 || !progress.at.is_empty()
-    }
-
-    fn note(&self, node: &NodeName, what: &str) {
-        let hops = &mut self.lock().hops;
-        if !hops.is_empty() {
-            hops.push(' ');
-        }
-        hops.push_str(node.as_str());
-        hops.push('=');
-        hops.push_str(what);
-    }
-}
-
-/// Says that an owner has a request, until it is dropped.
-struct At<'a> {
-    tried: &'a Tried,
-    node: &'a NodeName,
-}
-
-impl<'a> At<'a> {
-    fn new(tried: &'a Tried, node: &'a NodeName, now: Instant) -> Self {
-        let mut progress = tried.lock();
-        progress.at.push(node.clone());
-        progress.sent = Some(now);
-        Self { tried, node }
-    }
-}
-
-impl Drop for At<'_> {
-    fn drop(&mut self) {
-        let mut progress = self.tried.lock();
-        if let Some(index) = progress.at.iter().position(|node| node == self.node) {
-            progress.at.swap_remove(index);
-        }
-    }
-}
-
 /// What came of asking the owners once.
 enum Round {
     /// An owner took the request.
--- a/tests/mesh/processes.rs
+++ b/tests/mesh/processes.rs
@@ -208,6 +208,77 @@
     });
 }
 
+/// Waits until a node serves a route; two seconds are allowed from its acknowledgement.
+async fn in_force(fleet: &Fleet, member: usize, prefix: &str, written: Instant, what: &str) {
+    let mut n = 0;
+    loop {
+        let id = format!("{what}-{member}-{n}");
+        let answer = fleet.ask(member, "GET", &format!("{prefix}x"), &id).await;
+        if answer.is_some_and(|answer| answer.status == 200) {
+            return;
+        }
+        assert!(written.elapsed() < Duration::from_secs(2), "{what}: {member}");
+        n += 1;
+        task::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the sum of a counter over all members, for the series whose labels contain `labels`.
+async fn counted(fleet: &Fleet, name: &str, labels: &str) -> f64 {
+    let mut sum = 0.0;
+    for member in &fleet.members {
+        let metrics = call(member.metrics, "GET", "/metrics", "x", &[], &[]).await.unwrap();
+        let lines = metrics.body.lines().map(str::to_owned).collect::<Vec<_>>();
+        let found = lines.iter().filter(|line| line.starts_with(name) && line.contains(labels));
+        sum +=
+            found.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum::<f64>();
+    }
+    sum
+}
+
+/// Guards against a watch of every node for each change.
+#[test]
+fn a_change_wakes_one_watch_of_a_zone() {
+    block_on(async {
+        let fleet = Fleet::start(4).await;
+        task::sleep(Duration::from_millis(1_500)).await;
+        let calls = "oleandertiller_calls_total";
+        let before = counted(&fleet, calls, "call=\"watch\"").await;
+        for version in [5, 6, 7] {
+            let prefix = format!("/new-{version}/");
+            fleet.store.put("op/config", &config(version, Some(&prefix)));
+            let written = Instant::now();
+            for member in 0..4 {
+                in_force(&fleet, member, &prefix, written, "calm").await;
+            }
+        }
+        let watches = counted(&fleet, calls, "call=\"watch\"").await - before;
+        assert!(watches <= 4.0, "{watches} watches for 3 changes at 4 nodes");
+        let decisions = "oleandertiller_decisions_total";
+        assert!(counted(&fleet, decisions, "decision=\"run\"").await >= 12.0);
+    });
+}
+
+/// Guards against nodes that wait for changes at a node that is gone or does not run.
+#[test]
+fn changes_arrive_without_their_source() {
+    block_on(async {
+        for upset in ["killed", "paused"] {
+            let mut fleet = Fleet::start(3).await;
+            task::sleep(Duration::from_millis(1_500)).await;
+            match upset {
+                "killed" => fleet.members[0].kill(),
+                _ => fleet.members[0].signal("STOP"),
+            }
+            fleet.store.put("op/config", &config(5, Some("/new-5/")));
+            let written = Instant::now();
+            for member in 1..3 {
+                in_force(&fleet, member, "/new-5/", written, upset).await;
+            }
+        }
+    });
+}
+
 /// Guards against a configuration that is late: two seconds are allowed, also right after a silent
 /// outage and after the history was dropped.
 #[test]
@@ -229,17 +300,7 @@
             fleet.store.put("op/config", &config(version, Some(&prefix)));
             let written = Instant::now();
             for member in 0..2 {
-                let mut n = 0;
-                loop {
-                    let id = format!("{upset}-{member}-{n}");
-                    let answer = fleet.ask(member, "GET", &format!("{prefix}x"), &id).await;
-                    if answer.is_some_and(|answer| answer.status == 200) {
-                        break;
-                    }
-                    assert!(written.elapsed() < Duration::from_secs(2), "{upset}: {member}");
-                    n += 1;
-                    task::sleep(Duration::from_millis(50)).await;
-                }
+                in_force(&fleet, member, &prefix, written, upset).await;
             }
         }
         fleet.store.put("op/config", &serde_json::json!({"version": 99, "listeners": "odd"}));
