--- a/tests/testsuite/control/operators.rs
+++ b/tests/testsuite/control/operators.rs
@@ -2,7 +2,7 @@
 
 use async_std::task;
 
-use crate::processes::{Fleet, Plan, call};
+use crate::processes::{Fleet, Plan, STEP, call, wait_until};
 
 /// Guards against commands by anybody, and answers that do not say what became of a command or
 /// how old they are.
@@ -46,6 +46,13 @@
     });
 }
 
+/// Returns the value of a metric without labels.
+fn value(metrics: &str, name: &str) -> f64 {
+    let line = metrics.lines().find(|line| line.split(' ').next() == Some(name));
+    let value = line.and_then(|line| line.split(' ').nth(1)?.parse::<f64>().ok());
+    value.unwrap_or_else(|| panic!("{name}\n{metrics}"))
+}
+
 /// Guards against counts that do not reach the report, and control metrics that stay at zero.
 #[test]
 fn report_and_metrics_count_what_happened() {
@@ -63,13 +70,19 @@
         let temper = kinds.iter().find(|kind| kind["kind"] == "temper").unwrap();
         assert_eq!(temper["counts"][0]["outcome"], "done", "{report}");
         assert_eq!(temper["counts"][0]["count"], 3, "{report}");
-        let metrics = call(node.operator, "GET", "/metrics", &[], "").await;
-        let metrics = String::from_utf8(metrics.body).unwrap();
-        let value = |name: &str| {
-            let line = metrics.lines().find(|line| line.split(' ').next() == Some(name));
-            let value = line.and_then(|line| line.split(' ').nth(1)?.parse::<f64>().ok());
-            value.unwrap_or_else(|| panic!("{name}\n{metrics}"))
+        let metrics = || async {
+            let answer = call(node.operator, "GET", "/metrics", &[], "").await;
+            String::from_utf8(answer.body).unwrap()
+        };
+        // The control services set their gauges at each turn, and the other node may join later.
+        let told = || async {
+            let metrics = metrics().await;
+            let value = |name: &str| value(&metrics, &format!("oleandertiller_{name}"));
+            value("members") == 2.0 && value("stale") == 0.0 && value("intent_revision") >= 2.0
         };
+        wait_until(STEP, "gauges of a fleet of two that is in force", told, node).await;
+        let metrics = metrics().await;
+        let value = |name: &str| value(&metrics, name);
         for name in ["gossip_sent_total", "gossip_received_bytes_total", "store_calls_total"] {
             assert!(value(&format!("oleandertiller_{name}")) > 0.0, "{name}");
         }
--- a/tests/testsuite/dataplane/inner.rs
+++ b/tests/testsuite/dataplane/inner.rs
@@ -23,6 +23,7 @@
     timer::Timers,
     view::ViewCell,
 };
+use oleandertiller_model::codec::PROTOCOL_VERSION;
 use oleandertiller_model::{ErrorKind, SystemClock, message::INTENT_PATH};
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
@@ -74,13 +75,16 @@
     block_on(async {
         let member = single(config("alone").with_body_max_bytes(1_000)).await;
         let address = member.node.config().inner;
-        let other_version = [8, 0, 0, 0, 2, 1, 2, 3, 4, 5, 6, 7];
-        let no_head = [8, 0, 0, 0, 1, 1, 2, 3, 4, 5, 6, 7];
-        let too_long = [0xff, 0xff, 0xff, 0xff, 1, 1];
-        let cut = [100, 0, 0, 0, 1];
+        let version = u8::try_from(PROTOCOL_VERSION).unwrap();
+        let other_version = [8, 0, 0, 0, version + 1, 1, 2, 3, 4, 5, 6, 7];
+        let earlier_version = [8, 0, 0, 0, version - 1, 1, 2, 3, 4, 5, 6, 7];
+        let no_head = [8, 0, 0, 0, version, 1, 2, 3, 4, 5, 6, 7];
+        let too_long = [0xff, 0xff, 0xff, 0xff, version, 1];
+        let cut = [100, 0, 0, 0, version];
         let big = vec![0; 200_000];
-        let cases: [(&str, &[u8], Reason); 8] = [
+        let cases: [(&str, &[u8], Reason); 9] = [
             ("/call", &other_version, Reason::REFUSED_STREAM),
+            ("/call", &earlier_version, Reason::REFUSED_STREAM),
             ("/call", &no_head, Reason::PROTOCOL_ERROR),
             ("/call", &too_long, Reason::PROTOCOL_ERROR),
             ("/call", &cut, Reason::PROTOCOL_ERROR),
