Free the slot of a request whose client leaves before it is sent

Cause, found by reading and shown by a test that fails first: the queue gives a waiting request its slot and the waiter's future is dropped before it runs again. The ticket is no longer waiting, so its withdrawal did nothing and the slot counted as running for good. The queue now holds such tickets until they are confirmed.

Beside it: a request whose id merely begins with that of a running one was taken for a nested call of it; a separator is needed, and the format is decoded in platform/.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -8,7 +8,7 @@
 //! each is cold.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -182,6 +182,8 @@
     /// Smoothed service time, in seconds.
     service_time: f64,
     waiting: BTreeMap<Ticket, AdmissionRequest>,
+    /// Requests that have a slot and have not confirmed it; their clients may be gone by now.
+    granted: BTreeSet<Ticket>,
     last_number: u64,
     /// The highest priority that has recently found no slot, and when.
     starved: Option<(Instant, (PriorityClass, u32))>,
@@ -200,6 +202,7 @@
             load_at: None,
             service_time: INITIAL_SERVICE_TIME.as_secs_f64(),
             waiting: BTreeMap::new(),
+            granted: BTreeSet::new(),
             last_number: 0,
             starved: None,
             failure_rate: (0.0, None),
@@ -314,15 +317,25 @@
         let limit = self.slots.saturating_sub(reserve).max(1);
         if self.may_start(&request) && self.running < limit && self.take_cold_token(now) {
             self.waiting.remove(&ticket);
+            self.granted.insert(ticket);
             self.running += 1;
             return Some(Dequeued::Run(ticket));
         }
         None
     }
 
-    /// Removes a waiting request whose client has gone.
+    /// Records that a request has taken the slot that [`Self::dequeue`] gave it; from then on
+    /// [`Self::release`] frees the slot.
+    pub fn confirm(&mut self, ticket: Ticket) {
+        self.granted.remove(&ticket);
+    }
+
+    /// Removes a request whose client has gone, and frees the slot that it got but did not confirm.
     pub fn withdraw(&mut self, ticket: Ticket) {
         self.waiting.remove(&ticket);
+        if self.granted.remove(&ticket) {
+            self.release(None);
+        }
     }
 
     /// Frees a slot; `service_time` is known if the upstream answered.
--- a/crates/mesh/tests/mesh/admission_queue.rs
+++ b/crates/mesh/tests/mesh/admission_queue.rs
@@ -46,6 +46,27 @@
     assert_eq!(queue.admit(allow_slow, now), Admission::Run);
 }
 
+/// Guards against a slot that is lost for good when a client leaves after its waiting request got
+/// the slot and before the request was sent.
+#[test]
+fn slot_of_a_request_that_left_is_free_again() {
+    let now = Instant::now();
+    let mut queue = queue(1);
+    assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
+    let Admission::Wait(gone) = queue.admit(request(now, 80), now) else { panic!("must wait") };
+    queue.release(None);
+    assert_eq!(queue.dequeue(now), Some(Dequeued::Run(gone)));
+    queue.withdraw(gone);
+    let Admission::Run = queue.admit(request(now, 80), now) else { panic!("the slot is lost") };
+    // A confirmed slot is freed once, by the end of the run.
+    let Admission::Wait(sent) = queue.admit(request(now, 80), now) else { panic!("must wait") };
+    queue.release(None);
+    assert_eq!(queue.dequeue(now), Some(Dequeued::Run(sent)));
+    queue.confirm(sent);
+    queue.withdraw(sent);
+    assert_eq!(queue.admit(request(now, 0), now), Admission::Refuse(ErrorKind::Overloaded));
+}
+
 /// Guards against a request that waits longer than allowed, or at an upstream that is draining.
 #[test]
 fn wait_ends_with_refusal() {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -22,6 +22,7 @@
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, ZoneName};
+use oleandertiller_platform::header::is_nested_id;
 
 use super::{
     deployment_state::DeploymentState,
@@ -122,6 +123,9 @@
         let mut inner = self.owner.lock();
         inner.queue.withdraw(self.ticket);
         inner.waiters.remove(&self.ticket);
+        drop(inner);
+        // The request may have had a slot that another one can use.
+        self.owner.notify_waiters();
     }
 }
 
@@ -237,13 +241,10 @@
         (!admitted).then_some(ErrorKind::VersionVetoed)
     }
 
-    /// Returns the running request on whose behalf the upstream sends the one with `id`: the id of
-    /// a nested call starts with the id of its parent.
+    /// Returns the running request on whose behalf the upstream sends the one with `id`.
     pub fn parent_of(&self, id: &str) -> Option<Parent> {
         let mut inner = self.lock();
-        let is_parent =
-            |run: &&mut RunningRequest| id.len() > run.id.len() && id.starts_with(&*run.id);
-        let run = inner.running.iter_mut().find(is_parent)?;
+        let run = inner.running.iter_mut().find(|run| is_nested_id(id, &run.id))?;
         run.made_calls = true;
         Some(Parent { id: run.id.clone(), is_retry: run.is_retry })
     }
@@ -330,7 +331,11 @@
             let next_check = self.timers.at((self.clock.now() + LOAD_CHECK_INTERVAL).min(until));
             match select(pin!(rx.recv()), next_check).await {
                 Either::Left((decision, _)) => {
-                    return decision.unwrap_or(Err(ErrorKind::Internal));
+                    let decision = decision.unwrap_or(Err(ErrorKind::Internal));
+                    if decision.is_ok() {
+                        self.lock().queue.confirm(ticket);
+                    }
+                    return decision;
                 }
                 Either::Right(_) => self.refresh_load().await,
             }
@@ -347,8 +352,8 @@
             };
             let notified =
                 inner.waiters.remove(&ticket).is_some_and(|tx| tx.try_send(decision).is_ok());
-            if !notified && decision.is_ok() {
-                inner.queue.release(None);
+            if !notified {
+                inner.queue.withdraw(ticket);
             }
         }
     }
