Ask unknown owners of other zones for a tenth of the requests only

Cause: an owner that an ingress has never asked came first. With 164 owners and five requests a second at one ingress that is most of its requests: to a random zone, over a new connection.

Change: unknown owners of the same zone come first, those of other zones for one request in ten.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -23,6 +23,11 @@
 /// Added cost of another node in the same zone, in percent of the usual service time.
 const OTHER_NODE_COST_PERCENT: f64 = 5.0;
 
+/// Share of the requests for which an owner in another zone that was never asked comes first. In a
+/// zone with dozens of owners a node sends each of them a few requests a minute: if all unknown
+/// owners of all zones came first, most requests would leave the zone on a new connection.
+const EXPLORE_OTHER_ZONES_SHARE: f64 = 0.1;
+
 /// Maximum random addition to a cost, which spreads requests over equal owners, in percent.
 const JITTER_PERCENT: f64 = 10.0;
 
@@ -41,8 +46,9 @@
     pub tried: bool,
 }
 
-/// Sorts candidates by expected cost, the cheapest first. An owner that this ingress has never
-/// asked comes first once, so that its state becomes known.
+/// Sorts candidates by expected cost, the cheapest first. An owner of the same zone that this
+/// ingress has never asked comes first once, so that its state becomes known; those of other zones
+/// come first for a small share of the requests.
 pub fn sort_by_cost(
     candidates: &mut [Candidate],
     node: &NodeName,
@@ -50,9 +56,12 @@
     now: Instant,
     rng: &mut impl Rng,
 ) {
+    let explores_other_zones = rng.random_bool(EXPLORE_OTHER_ZONES_SHARE);
     let mut costs: Vec<(f64, Candidate)> = candidates
         .iter()
-        .map(|candidate| (cost(candidate, node, zone, now, rng), candidate.clone()))
+        .map(|candidate| {
+            (cost(candidate, node, zone, explores_other_zones, now, rng), candidate.clone())
+        })
         .collect();
     costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
     for (place, (_, candidate)) in candidates.iter_mut().zip(costs) {
@@ -64,10 +73,11 @@
     candidate: &Candidate,
     node: &NodeName,
     zone: &ZoneName,
+    explores_other_zones: bool,
     now: Instant,
     rng: &mut impl Rng,
 ) -> f64 {
-    if !candidate.tried {
+    if !candidate.tried && (candidate.zone == *zone || explores_other_zones) {
         return rng.random::<f64>() - 1.0;
     }
     let distance = match candidate.node == *node {
