Renew leases less often, and lease longer in large fleets

Change: a lease is renewed after 0.4 of its life, not a quarter, and lives twice as long in a fleet of 200 nodes or more; the store's allowed writes tell the size before the other nodes are known. The life that the store grants is the one that counts. Tests: priced renewals of 295 nodes, small fleets keep 3 s, one lost renewal is borne.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`change_feed`]: from where a node gets the store's changes.
 //! - [`config`]: the operators' configuration and the route of a request.
 //! - [`latency_estimate`]: how long answers take, and when a request is hedged.
+//! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`retry_after`]: when a refused client should retry.
@@ -17,6 +18,7 @@
 pub mod change_feed;
 pub mod config;
 pub mod latency_estimate;
+pub mod lease;
 pub mod members;
 pub mod placement;
 pub mod retry_after;
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -6,7 +6,10 @@
 };
 
 use async_channel::Receiver;
-use oleandertiller_mesh::members::NodeRecord;
+use oleandertiller_mesh::{
+    lease::{lease_ttl, renewal_interval},
+    members::NodeRecord,
+};
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::{Answer, Call, Transaction};
 
@@ -15,9 +18,6 @@
 /// Prefix of the keys of node records; the node's name follows.
 pub const RECORD_PREFIX: &str = "mesh/nodes/";
 
-/// Renewals within the time to live of a lease.
-const RENEWALS_PER_LEASE: u32 = 4;
-
 /// Pause after a failed call; records must be back two seconds after the store's recovery.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -32,6 +32,8 @@
 pub struct Registration<C: Clock> {
     shared: Arc<Shared<C>>,
     lease: Option<u64>,
+    /// Life of the lease, or of the next one.
+    lease_ttl: Duration,
     written_record: Option<NodeRecord>,
     failing: bool,
 }
@@ -39,14 +41,13 @@
 impl<C: Clock> Registration<C> {
     /// Creates a registration that has written nothing.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
-        Self { shared, lease: None, written_record: None, failing: false }
+        let lease_ttl = shared.settings.store.lease;
+        Self { shared, lease: None, lease_ttl, written_record: None, failing: false }
     }
 
     /// Keeps the record until the channel is closed, then removes it. A message on the channel
     /// means that the record may have changed.
     pub async fn run(mut self, record_changed: Receiver<()>) {
-        let lease_ttl =
-            self.shared.settings.store.lease.max(self.shared.settings.store.shortest_lease);
         let read_deadline = self.shared.clock.now() + MAX_READ_WAIT;
         // If the store cannot be read in time, the first write goes ahead regardless.
         let _ =
@@ -56,8 +57,9 @@
             let now = self.shared.clock.now();
             let kept = match now >= renew_at {
                 true => {
-                    renew_at = now + lease_ttl / RENEWALS_PER_LEASE;
-                    self.renew(lease_ttl).await && self.write().await
+                    let kept = self.renew().await && self.write().await;
+                    renew_at = now + renewal_interval(self.lease_ttl);
+                    kept
                 }
                 false => self.write().await,
             };
@@ -98,7 +100,7 @@
     }
 
     /// Renews the lease or obtains a new one; returns whether there is one.
-    async fn renew(&mut self, lease_ttl: Duration) -> bool {
+    async fn renew(&mut self) -> bool {
         if let Some(lease) = self.lease {
             match self.shared.store.call(&Call::Renew { lease }).await {
                 Ok(Answer::Leased { .. }) => return true,
@@ -114,8 +116,15 @@
                 }
             }
         }
-        match self.shared.store.call(&Call::Grant { ttl: lease_ttl }).await {
-            Ok(Answer::Leased { lease: Some(lease), .. }) => self.set_lease(Some(lease)),
+        let settings = &self.shared.settings.store;
+        let known_nodes = self.shared.deployment().members.iter().count();
+        let ttl = lease_ttl(settings.lease, known_nodes, settings.writes_per_second)
+            .max(settings.shortest_lease);
+        match self.shared.store.call(&Call::Grant { ttl }).await {
+            Ok(Answer::Leased { lease: Some(lease), ttl }) => {
+                self.lease_ttl = ttl;
+                self.set_lease(Some(lease));
+            }
             _ => return false,
         }
         true
--- a/src/settings/mesh.rs
+++ b/src/settings/mesh.rs
@@ -41,9 +41,12 @@
     "store" => MeshStoreSettings {
         "address", address: SocketAddr, None, Allowed::ReachableAddress, "Address of the store.";
         "lease-ms", lease: Duration, Some("3000"), number(1_000, 600_000, "ms"),
-            "Life of the node's record without a renewal.";
+            "Life of the node's record without a renewal, in a small fleet.";
         "shortest-lease-ms", shortest_lease: Duration, Some("1000"), number(1, 600_000, "ms"),
             "Shortest lease that the store grants.";
+        "writes-per-s", writes_per_second: f64, Some("0"), Allowed::Decimal { max: 1_000_000_000 },
+            "Writes that the store allows to all nodes together; leases are longer in a fleet that \
+             may make many.";
     }
     /// Service terms that operators have agreed on with the users.
     "terms" => MeshTermsSettings {
