Let the test of closed connections wait for the first close

Each connection has its own task; if the running request's close is noticed first, the queued request gets its slot before its own close is noticed, which is allowed. The test closed both without waiting in between. It waits for each count now; the checks are the same, and each wait checks its count, too.

--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -106,9 +106,11 @@
             call(&mut client, "b", "slow", b"").await
         });
         task::sleep(Duration::from_millis(100)).await;
+        // One after the other: the end of the running request would start the queued one.
         queued.cancel().await;
+        wait_for_cancelled(&upstream, 1).await;
         running.cancel().await;
-        task::sleep(Duration::from_millis(200)).await;
+        wait_for_cancelled(&upstream, 2).await;
         let record = upstream.record();
         assert_eq!((record.cancelled, record.run, record.succeeded), (2, 1, 0));
         assert!(!record.requests.contains_key("b"));
@@ -116,6 +118,15 @@
     });
 }
 
+/// Waits until the upstream has noticed the close of `count` connections with a request.
+async fn wait_for_cancelled(upstream: &Upstream, count: u64) {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    while upstream.record().cancelled < count && Instant::now() < deadline {
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(upstream.record().cancelled, count);
+}
+
 /// Guards against a deadline that is ignored while the request runs.
 #[test]
 fn request_stops_at_its_deadline() {
