Look for other groups sooner after the start

The intervals of an entry holder now double from 5 s to 60 s; the reads of other nodes stay as they were.

Test: the second look comes within 20 s (80 s before).

--- a/crates/fleet/src/entries.rs
+++ b/crates/fleet/src/entries.rs
@@ -35,6 +35,28 @@
 /// cover changes that gossip does not show. At 17,000 nodes this is 28 reads a second.
 const LIST_MEAN_INTERVAL: Duration = Duration::from_secs(600);
 
+/// Interval at which an entry holder reads the entries of all zones, so that parts of the fleet
+/// that started separately find each other. At 17 zones with 3 entries this is 0.9 reads a second.
+const DISCOVERY_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Interval at which a node that knows no peer reads the entries of all zones, and first interval
+/// of every node: nodes that start at the same time may form groups that do not know each other.
+const FIRST_DISCOVERY_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Returns the time until a node reads the entries of all zones again. `reads` is the number of
+/// such reads since its start; those of an entry holder become rarer from
+/// [`FIRST_DISCOVERY_INTERVAL`] on.
+pub fn discovery_interval(reads: u32, knows_peer: bool, holds_entry: bool) -> Duration {
+    if !knows_peer || reads == 0 {
+        return FIRST_DISCOVERY_INTERVAL;
+    }
+    if !holds_entry {
+        // Nodes without an entry are found through those with one.
+        return DISCOVERY_INTERVAL * 10;
+    }
+    FIRST_DISCOVERY_INTERVAL.saturating_mul(1 << reads.min(16)).min(DISCOVERY_INTERVAL)
+}
+
 /// The stored value of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/fleet/tests/fleet/entries.rs
+++ b/crates/fleet/tests/fleet/entries.rs
@@ -7,7 +7,7 @@
 
 use oleandertiller_fleet::{
     Entries, EntryValue, Step, StoreAnswer, StoreCall,
-    entries::{ENTRIES_PER_ZONE, LEASE_TTL, WATCHERS_PER_ZONE, parse_holders},
+    entries::{ENTRIES_PER_ZONE, LEASE_TTL, WATCHERS_PER_ZONE, discovery_interval, parse_holders},
     measure::network::record,
     store::StoreItem,
 };
@@ -246,3 +246,15 @@
     zone.run(secs(60));
     assert_eq!(zone.held(), [0, 1, 2]);
 }
+
+/// Guards against groups of nodes that start at the same time and find each other only after a
+/// minute: an entry holder looks at all zones twice in its first 20 seconds, also if each interval
+/// is a quarter longer than usual.
+#[test]
+fn groups_that_start_apart_find_each_other_soon() {
+    let second_read: Duration =
+        (0..2).map(|reads| discovery_interval(reads, true, true).mul_f64(1.25)).sum();
+    assert!(second_read <= secs(20), "second read after {second_read:?}");
+    // The other nodes of a large fleet must not call the store again with them.
+    assert!(discovery_interval(1, true, false) >= secs(300));
+}
--- a/src/node/control/entry.rs
+++ b/src/node/control/entry.rs
@@ -8,7 +8,7 @@
 
 use oleandertiller_fleet::{
     Addresses, Entries, EntryValue, Record, Step, StoreAnswer, StoreCall,
-    entries::{entry_prefix, parse_holders},
+    entries::{discovery_interval, entry_prefix, parse_holders},
 };
 use oleandertiller_model::Clock;
 use rand::{SeedableRng, rngs::StdRng};
@@ -19,14 +19,6 @@
 /// Interval at which the zone's entries are read from the member table.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which an entry holder reads the entries of all zones, so that parts of the fleet
-/// that started separately find each other. At 17 zones with 3 entries this is 0.9 reads a second.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(60);
-
-/// Interval at which a node that knows no peer reads the entries of all zones. A fleet has few such
-/// nodes at a time.
-const NO_PEER_DISCOVERY_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Key prefix of the entries of all zones.
 const ALL_ZONES_PREFIX: &str = "zone/";
 
@@ -41,8 +33,9 @@
     let now = control.clock.now();
     let mut entries = Entries::new(zone.clone(), value, now);
     let mut step = entries.wake(now, &mut rng);
-    let mut discover_at = now + NO_PEER_DISCOVERY_INTERVAL;
     let mut held = None;
+    let mut reads = 0;
+    let mut discover_at = control.next_discovery(reads, held);
     while !control.is_stopping() {
         step = match step {
             Step::Call(call) => {
@@ -62,12 +55,15 @@
         };
         let now = control.clock.now();
         control.publish_entry(&entries, &mut held, now);
-        let holds_without_peer = held.is_some() && control.has_no_peer();
-        if now >= discover_at
-            || holds_without_peer && discover_at > now + NO_PEER_DISCOVERY_INTERVAL
-        {
+        // A node that has lost its last peer does not wait for the end of a long interval.
+        discover_at = match held.is_some() && control.has_no_peer() {
+            true => discover_at.min(control.next_discovery(reads, held)),
+            false => discover_at,
+        };
+        if now >= discover_at {
             control.discover().await;
-            discover_at = control.next_discovery(held);
+            reads += 1;
+            discover_at = control.next_discovery(reads, held);
         }
     }
     control.watching.store(false, Ordering::Relaxed);
@@ -99,15 +95,9 @@
     }
 
     /// Returns when the node next reads the entries of all zones.
-    fn next_discovery(&self, held: Option<u8>) -> Instant {
-        let now = self.clock.now();
-        let wait = match (self.has_no_peer(), held) {
-            (true, _) => NO_PEER_DISCOVERY_INTERVAL,
-            (false, Some(_)) => DISCOVERY_INTERVAL,
-            // Entry holders read more often, and nodes without an entry are found through them.
-            (false, None) => DISCOVERY_INTERVAL * 10,
-        };
-        now + wait.mul_f64(0.75 + 0.5 * rand::random::<f64>())
+    fn next_discovery(&self, reads: u32, held: Option<u8>) -> Instant {
+        let wait = discovery_interval(reads, !self.has_no_peer(), held.is_some());
+        self.clock.now() + wait.mul_f64(0.75 + 0.5 * rand::random::<f64>())
     }
 
     fn has_no_peer(&self) -> bool {
