Bound interim responses and trailers

Found by reading: interim responses and trailer lines were each bounded, their number was not; with a peer at full speed the read never waited, so it could hold the executor past the deadline. At most 8 interim responses and 8 KiB of trailers are read now.

Test: seven streams without end; it fails on the code before at the first one, interim responses.

--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -23,8 +23,12 @@
 /// Maximum length of the line with a chunk's size, in bytes; it may have extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
-/// Maximum length of a trailer line after a chunked body, in bytes.
-const MAX_TRAILER_LINE_BYTES: usize = 8 << 10;
+/// Maximum length of all trailer lines after a chunked body, in bytes.
+const MAX_TRAILER_BYTES: usize = 8 << 10;
+
+/// Maximum number of interim responses before the response. Without a limit, a peer that sends them
+/// at full speed would keep the executor busy for as long as it likes.
+const MAX_INTERIM_RESPONSES: usize = 8;
 
 /// Headers that concern only one connection.
 const HOP_BY_HOP: [&str; 9] = [
@@ -241,6 +245,7 @@
     ///
     /// Returns [`HttpError`] if there is no valid one.
     pub async fn read_response(&mut self, max: usize) -> Result<ResponseHead, HttpError> {
+        let mut interim_responses = 0;
         loop {
             match parse_response(&self.buf[self.consumed..])? {
                 Some((head, len)) => {
@@ -248,6 +253,10 @@
                     if !(100..200).contains(&head.status) {
                         return Ok(head);
                     }
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return Err(HttpError::Malformed);
+                    }
                 }
                 None => self.read_more_head(max).await?,
             }
@@ -309,8 +318,17 @@
                 return Err(HttpError::Malformed);
             }
         }
-        while !self.read_line(MAX_TRAILER_LINE_BYTES).await?.is_empty() {}
-        Ok(body)
+        let mut trailer_bytes = 0;
+        loop {
+            let line = self.read_line(MAX_TRAILER_BYTES).await?;
+            if line.is_empty() {
+                return Ok(body);
+            }
+            trailer_bytes += line.len();
+            if trailer_bytes > MAX_TRAILER_BYTES {
+                return Err(HttpError::Malformed);
+            }
+        }
     }
 
     /// Reads a line and returns it without its line end.
--- a/tests/mesh/http.rs
+++ b/tests/mesh/http.rs
@@ -192,3 +192,44 @@
         })?;
     }
 }
+
+/// Writes `start` and then `part` over and over, until the peer closes.
+async fn write_without_end(mut peer: TcpStream, start: Vec<u8>, part: &'static [u8]) {
+    let block = part.repeat(64);
+    if peer.write_all(&start).await.is_ok() {
+        while peer.write_all(&block).await.is_ok() {}
+    }
+}
+
+/// Guards against a peer that keeps a node busy without end: interim responses, header lines, the
+/// body, sizes of chunks and trailers that never stop must each be refused at a limit.
+#[test]
+fn bytes_without_end_are_refused() {
+    let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    let trailers = [&chunked[..], b"1\r\nx\r\n0\r\n"].concat();
+    let cases: [(&str, Vec<u8>, &'static [u8]); 7] = [
+        ("interim responses", Vec::new(), b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ("header lines", b"HTTP/1.1 200 OK\r\n".to_vec(), b"X-More: 1\r\n"),
+        ("one header line", b"HTTP/1.1 200 OK\r\nX-Long: ".to_vec(), b"x"),
+        ("body without a length", b"HTTP/1.1 200 OK\r\n\r\n".to_vec(), b"x"),
+        ("extension of a chunk", [&chunked[..], b"1;"].concat(), b"x"),
+        ("chunks", chunked.clone(), b"1\r\nx\r\n"),
+        ("trailers", trailers, b"X-More: 1\r\n"),
+    ];
+    for (name, start, part) in cases {
+        block_on(async {
+            let (peer, mut conn) = connected_pair().await;
+            let writer = async_std::task::spawn(write_without_end(peer, start, part));
+            let response = async {
+                let head = conn.read_response(16 << 10).await?;
+                let framing = response_framing(head.status, &head.headers)?;
+                conn.read_body(framing, 64 << 10).await
+            };
+            let result = timeout(Duration::from_secs(5), response).await;
+            let result = result.unwrap_or_else(|_| panic!("{name}: still reading"));
+            assert!(result.is_err(), "{name}: taken for a response");
+            drop(conn);
+            assert!(timeout(Duration::from_secs(5), writer).await.is_ok(), "{name}: still open");
+        });
+    }
+}
