Check the life of a lease that the store grants

Zero would make a node renew without a pause, and a life far ahead cannot be added to the clock, which would end the process. Test: both values and a usual one; without the check the first one gives an interval of zero.

--- a/crates/mesh/src/lease.rs
+++ b/crates/mesh/src/lease.rs
@@ -27,6 +27,12 @@
     base.mul_f64((nodes / SMALL_FLEET_NODES).clamp(1.0, MAX_FACTOR))
 }
 
+/// Returns the life of a lease that the store says it has granted. What is shorter than any lease,
+/// or longer than was asked for, comes from a damaged answer.
+pub fn granted_ttl(granted: Duration, requested: Duration, shortest: Duration) -> Duration {
+    granted.min(requested).max(shortest)
+}
+
 /// Returns the time after which a lease is renewed.
 pub fn renewal_interval(ttl: Duration) -> Duration {
     ttl.mul_f64(RENEWAL_FRACTION)
--- a/crates/mesh/tests/mesh/lease.rs
+++ b/crates/mesh/tests/mesh/lease.rs
@@ -1,8 +1,8 @@
 //! Life of the leases of node records.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use oleandertiller_mesh::lease::{lease_ttl, renewal_interval};
+use oleandertiller_mesh::lease::{granted_ttl, lease_ttl, renewal_interval};
 
 const BASE: Duration = Duration::from_secs(3);
 
@@ -34,3 +34,15 @@
         assert!(renewal_interval(ttl) * 2 < ttl);
     }
 }
+
+/// Guards against a damaged answer of the store that makes a node renew without pause, or that ends
+/// the process: a time far ahead cannot be added to the clock.
+#[test]
+fn damaged_lives_are_not_believed() {
+    let shortest = Duration::from_secs(1);
+    for granted in [Duration::ZERO, BASE, Duration::from_millis(u64::MAX)] {
+        let interval = renewal_interval(granted_ttl(granted, BASE, shortest));
+        assert!(Instant::now().checked_add(interval).is_some());
+        assert!(interval >= shortest / 4 && interval < BASE);
+    }
+}
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -7,7 +7,7 @@
 
 use async_channel::Receiver;
 use oleandertiller_mesh::{
-    lease::{lease_ttl, renewal_interval},
+    lease::{granted_ttl, lease_ttl, renewal_interval},
     members::NodeRecord,
 };
 use oleandertiller_model::Clock;
@@ -121,8 +121,8 @@
         let ttl = lease_ttl(settings.lease, known_nodes, settings.writes_per_second)
             .max(settings.shortest_lease);
         match self.shared.store.call(&Call::Grant { ttl }).await {
-            Ok(Answer::Leased { lease: Some(lease), ttl }) => {
-                self.lease_ttl = ttl;
+            Ok(Answer::Leased { lease: Some(lease), ttl: granted }) => {
+                self.lease_ttl = granted_ttl(granted, ttl, settings.shortest_lease);
                 self.set_lease(Some(lease));
             }
             _ => return false,
