Keep an upstream gone that left before the restarted node knew it

The new process acknowledges the departure without knowing any upstream and forgot it; a heartbeat sent earlier arrived 2.3 s later and put the upstream back into service. Departures of unknown upstreams are now remembered until a later start. Test: fails on the code before (Replaced instead of Stale). Open: a second restart within the same departure forgets it again, since no record of it is stored.

--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -68,6 +68,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Upstream {
     latest: Option<Announcement>,
+    /// An upstream that left before this node knew it, with its start if the message contained it.
+    departed: Option<(Arc<str>, Option<u64>)>,
 }
 
 impl Upstream {
@@ -79,6 +81,9 @@
     /// Applies an announcement unless it is stale. An incarnation never returns from
     /// [`Stage::Gone`], and a later start wins over an earlier one.
     pub fn apply(&mut self, announcement: Announcement) -> AnnouncementOutcome {
+        if self.has_departed(&announcement.incarnation) {
+            return AnnouncementOutcome::Stale;
+        }
         let Some(latest) = &self.latest else {
             self.latest = Some(announcement);
             return AnnouncementOutcome::Replaced;
@@ -97,16 +102,31 @@
         AnnouncementOutcome::Replaced
     }
 
+    /// Returns whether an incarnation left before this node knew it. An announcement that was sent
+    /// before may arrive after that.
+    fn has_departed(&mut self, incarnation: &Incarnation) -> bool {
+        let Some((id, started_ms)) = &mut self.departed else { return false };
+        // If the message did not contain the start, it meant the incarnation that is seen first.
+        *id == incarnation.id
+            && *started_ms.get_or_insert(incarnation.started_ms) >= incarnation.started_ms
+    }
+
     /// Records that an upstream has left; returns whether it is the current one. `started_ms` is
-    /// `None` if the message did not contain it.
+    /// `None` if the message did not contain it. A node that has just started may get this message
+    /// before any announcement.
     pub fn leave(&mut self, id: &str, started_ms: Option<u64>) -> bool {
-        let Some(latest) = &mut self.latest else { return false };
-        let is_current = &*latest.incarnation.id == id
-            && started_ms.is_none_or(|started_ms| started_ms >= latest.incarnation.started_ms);
-        if is_current {
-            latest.stage = Stage::Gone;
+        if let Some(latest) = &mut self.latest
+            && &*latest.incarnation.id == id
+        {
+            let is_current =
+                started_ms.is_none_or(|started_ms| started_ms >= latest.incarnation.started_ms);
+            if is_current {
+                latest.stage = Stage::Gone;
+            }
+            return is_current;
         }
-        is_current
+        self.departed = Some((id.into(), started_ms));
+        false
     }
 
     /// Forgets an incarnation at whose address another upstream answers.
--- a/crates/mesh/tests/mesh/upstream.rs
+++ b/crates/mesh/tests/mesh/upstream.rs
@@ -39,6 +39,27 @@
     assert_eq!(upstream.latest().unwrap().stage, Stage::Draining);
 }
 
+/// Guards against a server that left while its node was restarting and is in use again: the new
+/// process knows no upstream when it is told of the departure, and an earlier announcement arrives
+/// after that.
+#[test]
+fn upstream_that_left_before_it_was_known_stays_gone() {
+    for started_ms in [Some(10), None] {
+        let mut upstream = Upstream::default();
+        assert!(!upstream.leave("i-1", started_ms));
+        for sequence in [7, 8] {
+            let late = announcement("i-1", 10, sequence, Stage::Serving);
+            assert_eq!(upstream.apply(late), AnnouncementOutcome::Stale);
+        }
+        assert_eq!(upstream.latest(), None);
+        // A later start under the same id, and another upstream, are new.
+        let restarted = announcement("i-1", 20, 1, Stage::Serving);
+        assert_eq!(upstream.clone().apply(restarted), AnnouncementOutcome::Replaced);
+        let other = announcement("i-2", 20, 1, Stage::Serving);
+        assert_eq!(upstream.apply(other), AnnouncementOutcome::Replaced);
+    }
+}
+
 /// Guards against announcements of an earlier incarnation, and against sequence numbers that start
 /// again from one.
 #[test]
