Count the requests to a new version at the owners, and log and measure its exposure

The leader knew how many answers there were, not how many requests the upstreams had started; the difference, what is allowed and what the old version still runs were in no line, so that a share that is too large could not be told from requests that no share gives. Owners now count the requests since the order and report them with the evidence.

--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -13,6 +13,8 @@
 use oleandertiller_model::VersionName;
 use serde::{Deserialize, Serialize};
 
+use crate::exposure::ExposureLimit;
+
 /// Phase of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -380,15 +382,6 @@
 /// Ratio of the smaller to the larger of two shares below which the share is changed.
 const MIN_SHARE_RATIO: f64 = 0.6;
 
-/// Maximum number of requests that a bad version may get.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ExposureLimit {
-    /// Share of all requests of the service between the order and the end of its time.
-    pub share: f64,
-    /// Requests in addition to the share.
-    pub extra: f64,
-}
-
 /// Progress of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutProgress {
--- a/crates/mesh/tests/mesh/exposure.rs
+++ b/crates/mesh/tests/mesh/exposure.rs
@@ -3,9 +3,12 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc, time::Duration};
 
-use oleandertiller_mesh::rollout::{
-    BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, ExposureLimit, Finding, Phase, RolloutPlan,
-    RolloutProgress, Step, assess, next_step,
+use oleandertiller_mesh::{
+    exposure::ExposureLimit,
+    rollout::{
+        BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, Finding, Phase, RolloutPlan,
+        RolloutProgress, Step, assess, next_step,
+    },
 };
 use oleandertiller_model::VersionName;
 use proptest::prelude::*;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod change_feed;
 mod config;
 mod exposure;
+mod exposure_counts;
 mod lease;
 mod load;
 mod members;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use event_listener::Event;
 use oleandertiller_mesh::{
-    config::Config, members::NodeRecord, retry_budget::RetryBudgetConfig, rollout::ExposureLimit,
+    config::Config, exposure::ExposureLimit, members::NodeRecord, retry_budget::RetryBudgetConfig,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -28,7 +28,7 @@
     deployment_state::DeploymentState,
     flag::Flag,
     ingress::Ingress,
-    message::{EVIDENCE_PATH, OFFER_PATH, Offer},
+    message::{OFFER_PATH, Offer, REPORT_PATH},
     metrics::Metrics,
     owner::{Owner, OwnerConfig},
     registration::Registration,
@@ -275,7 +275,7 @@
                 let Shared { change_feed, clock, timers, .. } = &*self.0;
                 Some(codec::encode(&change_feed.answer(request, clock, timers).await))
             }
-            EVIDENCE_PATH => Some(codec::encode(&self.0.owner.evidence())),
+            REPORT_PATH => Some(codec::encode(&self.0.owner.report())),
             _ => None,
         }
     }
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -5,6 +5,8 @@
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
     config::RetrySafety,
+    exposure::OwnerCounts,
+    rollout::Evidence,
 };
 use oleandertiller_model::{ErrorKind, NodeName, ServiceName, VersionName};
 use serde::{Deserialize, Serialize};
@@ -14,8 +16,8 @@
 /// Path of the `h2` requests that offer a request to an owner.
 pub const OFFER_PATH: &str = "/mesh/offer";
 
-/// Path of the `h2` requests with which a rollout's leader gets the evidence of an owner.
-pub const EVIDENCE_PATH: &str = "/mesh/evidence";
+/// Path of the `h2` requests with which a rollout's leader gets the report of an owner.
+pub const REPORT_PATH: &str = "/mesh/rollout-report";
 
 /// A client's request, offered to an owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +63,19 @@
     pub class: PriorityClass,
 }
 
+/// What an owner reports to the leader of its service's rollout.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OwnerReport {
+    /// Answers of the upstream.
+    pub evidence: Evidence,
+    /// Requests started since the order.
+    pub counts: OwnerCounts,
+    /// Requests that the upstream is running.
+    pub running: u32,
+}
+
 /// An upstream's complete HTTP response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -122,6 +122,8 @@
     nodes: Gauge,
     request_limit: Gauge<f64, AtomicU64>,
     store_era: Gauge,
+    rollout_requests: Gauge,
+    rollout_allowed_requests: Gauge,
     routes: Mutex<BTreeSet<String>>,
 }
 
@@ -160,6 +162,17 @@
             "Requests per second that the local upstream accepts, -1 without a limit",
             request_limit.clone(),
         );
+        let (rollout_requests, rollout_allowed_requests) = (Gauge::default(), Gauge::default());
+        registry.register(
+            "rollout_requests",
+            "Requests to the new version since the order, where this node leads its rollout",
+            rollout_requests.clone(),
+        );
+        registry.register(
+            "rollout_allowed_requests",
+            "Requests that a bad version may have got by now, where this node leads its rollout",
+            rollout_allowed_requests.clone(),
+        );
         let routes = Mutex::default();
         Self {
             registry,
@@ -172,6 +185,8 @@
             nodes,
             request_limit,
             store_era,
+            rollout_requests,
+            rollout_allowed_requests,
             routes,
         }
     }
@@ -222,6 +237,13 @@
         self.request_limit.set(per_second.unwrap_or(NO_REQUEST_LIMIT));
     }
 
+    /// Sets how many requests the new version got in the rollout that this node leads, and how many
+    /// a bad version may have got by now.
+    pub fn set_exposure(&self, requests: u64, allowed: u64) {
+        self.rollout_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
+        self.rollout_allowed_requests.set(i64::try_from(allowed).unwrap_or(i64::MAX));
+    }
+
     fn route_label(&self, route: &str) -> String {
         let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if routes.contains(route) {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -18,6 +18,7 @@
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, Dequeued, OwnerState, Ticket},
     config::RetrySafety,
+    exposure::OwnerExposure,
     rollout::Evidence,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
 };
@@ -27,7 +28,7 @@
 use super::{
     deployment_state::DeploymentState,
     http::HttpConn,
-    message::{End, Offer, Reply},
+    message::{End, Offer, OwnerReport, Reply},
     metrics::Metrics,
     upstream::Pool,
 };
@@ -49,6 +50,7 @@
     next_health_check: Option<Instant>,
     running: Vec<RunningRequest>,
     vetoed: bool,
+    exposure: OwnerExposure,
 }
 
 /// A request that the upstream is running.
@@ -150,6 +152,7 @@
             next_health_check: None,
             running: Vec::new(),
             vetoed: false,
+            exposure: OwnerExposure::default(),
         };
         let health_conn = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
@@ -225,6 +228,11 @@
         {
             let deployment = self.deployment();
             let mut inner = self.lock();
+            if let Some(latest) = inner.upstream.latest() {
+                let order = deployment.orders.get(&latest.service);
+                let order = order.map(|received| (received.revision, received.at));
+                inner.exposure.set_order(order);
+            }
             let closed_reason = self.closed_reason(&inner, &deployment);
             let slots = inner.upstream.latest().map_or(0, |latest| latest.slots);
             inner.queue.set_capacity(slots, closed_reason);
@@ -260,9 +268,14 @@
         self.lock().queue.full_rate()
     }
 
-    /// Returns the rollout evidence on the upstream's version.
-    pub fn evidence(&self) -> Evidence {
-        self.lock().evidence.clone()
+    /// Returns the report to the leader of the service's rollout.
+    pub fn report(&self) -> OwnerReport {
+        let inner = self.lock();
+        OwnerReport {
+            evidence: inner.evidence.clone(),
+            counts: inner.exposure.counts(),
+            running: inner.running.len() as u32,
+        }
     }
 
     /// Returns the state that is sent with the reply to an offer.
@@ -313,11 +326,15 @@
                 }
             }
         }
-        self.lock().running.push(RunningRequest {
-            id: offer.id.clone(),
-            is_retry: offer.is_retry,
-            made_calls: false,
-        });
+        {
+            let mut inner = self.lock();
+            inner.exposure.on_start(&offer.version);
+            inner.running.push(RunningRequest {
+                id: offer.id.clone(),
+                is_retry: offer.is_retry,
+                made_calls: false,
+            });
+        }
         let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
         let started = self.clock.now();
         let end = self.run_on_upstream(offer, deadline).await;
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -12,13 +12,14 @@
 
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
+    exposure::ExposureLedger,
     members::NodeRecord,
     rollout::{
         BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, Finding, Phase, RolloutPlan,
         RolloutProgress, Step, assess, next_step,
     },
 };
-use oleandertiller_model::{Clock, NodeName, ServiceName, codec};
+use oleandertiller_model::{Clock, NodeName, ServiceName, VersionName, codec};
 use oleandertiller_platform::{
     rollout::{RolloutState, STATUS_PREFIX, write_status},
     store::{Answer, Call, Transaction},
@@ -27,7 +28,7 @@
 use super::{
     daemon::Shared,
     deployment_state::ReceivedOrder,
-    message::EVIDENCE_PATH,
+    message::{OwnerReport, REPORT_PATH},
     store_watcher::{LEADER_PREFIX, PLAN_PREFIX},
 };
 
@@ -37,8 +38,8 @@
 /// Minimum time over which the rate of answers is measured.
 const MIN_RATE_TIME: Duration = Duration::from_millis(1_100);
 
-/// Timeout of requesting the evidence of an owner.
-const EVIDENCE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of requesting the report of an owner.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Delay of an attempt to become leader, once for each node of the service with a lesser name, so
 /// that the nodes try in turn.
@@ -49,6 +50,10 @@
     shared: Arc<Shared<C>>,
     /// Evidence by owner and incarnation, so that none is lost when an owner restarts.
     evidence: BTreeMap<(NodeName, u64), Evidence>,
+    /// Requests since the order.
+    exposure: ExposureLedger,
+    /// Requests that upstreams of other versions were running at their owners' last reports.
+    old_running: u32,
     /// Revision of the order that the evidence belongs to.
     order_revision: u64,
     /// Time of the first count of the service's answers, and their number then.
@@ -65,6 +70,8 @@
         Self {
             shared,
             evidence: BTreeMap::new(),
+            exposure: ExposureLedger::default(),
+            old_running: 0,
             order_revision: 0,
             first_count: None,
             full_share_start: None,
@@ -168,6 +175,7 @@
             self.first_count = None;
             self.full_share_start = None;
             self.evidence.clear();
+            self.exposure = ExposureLedger::default();
         }
         let (stored, lost) = {
             let deployment = self.shared.deployment();
@@ -196,7 +204,7 @@
                 return;
             }
         };
-        self.collect_evidence(service).await;
+        self.collect_reports(service, received.revision, &plan.version).await;
         let mut all = Evidence::default();
         self.evidence.values().for_each(|evidence| all.merge(evidence));
         let finding = self.assess(&all, &plan);
@@ -219,9 +227,13 @@
             exposure: self.shared.exposure(),
         };
         let step = next_step(&plan, &finding, &progress);
+        let counts = self.exposure.counts();
+        let allowed = progress.exposure.allowed(counts) as u64;
+        self.shared.metrics.set_exposure(counts.new, allowed);
         log::info!(service = service.as_str(), version = plan.version.as_str(),
-            share = plan.share, passed_ms = elapsed.as_millis() as u64, finding:? = finding,
-            step:? = step; "rollout assessed");
+            share = plan.share, passed_ms = elapsed.as_millis() as u64, exposed = counts.new,
+            allowed = allowed, all = counts.all, old_running = self.old_running,
+            finding:? = finding, step:? = step; "rollout assessed");
         let plan = match step {
             Step::Stay => return,
             Step::Share(share) => RolloutPlan { share, ..plan },
@@ -270,8 +282,13 @@
         }
     }
 
-    /// Collects the evidence of all owners of the service.
-    async fn collect_evidence(&mut self, service: &ServiceName) {
+    /// Collects the reports of all owners of the service on an order for `version`.
+    async fn collect_reports(
+        &mut self,
+        service: &ServiceName,
+        order_revision: u64,
+        version: &VersionName,
+    ) {
         let now = self.shared.clock.now();
         let shared = self.shared.clone();
         let own_name = &shared.settings.node.name;
@@ -283,24 +300,30 @@
             });
             members.map(|member| member.record.clone()).collect()
         };
-        let until = now + EVIDENCE_TIMEOUT;
+        let until = now + REPORT_TIMEOUT;
         let shared = &shared;
         let requests = owners.iter().map(|record| async move {
             if record.node == *own_name {
-                return Some((record, shared.owner.evidence()));
+                return Some((record, shared.owner.report()));
             }
-            let request = shared.client.request(record.inner, EVIDENCE_PATH, Vec::new(), until);
+            let request = shared.client.request(record.inner, REPORT_PATH, Vec::new(), until);
             let bytes = request.await.ok()?;
-            Some((record, codec::decode::<Evidence>(&bytes).ok()?))
+            Some((record, codec::decode::<OwnerReport>(&bytes).ok()?))
         });
         let answers = join_all(requests).await;
         let missing = answers.iter().filter(|answer| answer.is_none()).count();
         if missing > 0 {
             log::info!(service = service.as_str(), missing = missing;
-                "evidence of some owners is missing");
+                "reports of some owners are missing");
         }
-        for (record, evidence) in answers.into_iter().flatten() {
-            self.evidence.insert((record.node.clone(), record.incarnation), evidence);
+        self.old_running = 0;
+        for (record, report) in answers.into_iter().flatten() {
+            let owner = (record.node.clone(), record.incarnation);
+            self.exposure.on_counts(owner.clone(), &report.counts, order_revision, version);
+            self.evidence.insert(owner, report.evidence);
+            if record.upstream.as_ref().is_some_and(|upstream| upstream.version != *version) {
+                self.old_running += report.running;
+            }
         }
     }
 
