--- a/crates/mesh/tests/mesh/exposure.rs
+++ b/crates/mesh/tests/mesh/exposure.rs
@@ -29,6 +29,9 @@
 const SLOW_SHARE: f64 = 0.35;
 const SLOWNESS_PERIOD: f64 = 0.15;
 
+/// Length of the burst, in seconds.
+const BURST_LENGTH: f64 = 3.3;
+
 /// When the new version fails a part of its requests.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -48,8 +51,10 @@
     /// Part of the requests that fail when the fault shows.
     failing: f64,
     per_second: f64,
-    /// Factor of the rate from 7.7 to 11 s after the order.
+    /// Factor of the rate in a burst of [`BURST_LENGTH`].
     burst: f64,
+    /// Start of the burst, in seconds after the order.
+    burst_from: f64,
     /// Upstreams of the new version.
     upstreams: usize,
     /// Time until all nodes follow a new share.
@@ -141,7 +146,8 @@
     let (mut full_share, mut phase) = (None, None);
     let (mut new_requests, mut all_requests, mut now, mut assess_at) = (0.0, 0.0, 0.0, 2.0);
     while now < TIME_LIMIT {
-        let burst = if (7.7..11.0).contains(&now) { rollout.burst } else { 1.0 };
+        let in_burst = (0.0..BURST_LENGTH).contains(&(now - rollout.burst_from));
+        let burst = if in_burst { rollout.burst } else { 1.0 };
         now -= rng.random::<f64>().max(1e-9).ln() / (rollout.per_second * burst);
         while let Some(Reverse(run)) =
             runs.peek().copied().filter(|run| run.0.ends.as_secs_f64() <= now)
@@ -229,6 +235,7 @@
     failing: 0.5,
     per_second: 68.0,
     burst: 1.8,
+    burst_from: 7.7,
     upstreams: 7,
     news_delay: 0.5,
     rollback_delay: 0.2,
@@ -248,6 +255,24 @@
     }
 }
 
+/// Guards against a version that shows its fault when it is too late to take it back: whenever that
+/// is, it must not get more than the operators allow.
+#[test]
+fn version_that_turns_bad_late_stays_within_the_exposure() {
+    let mut over = Vec::new();
+    for tenths in (60..160).step_by(5) {
+        let fault = Fault::From(f64::from(tenths) / 10.0);
+        let rollout = Rollout { fault, burst_from: 10.0, ..LENDING_DESK };
+        for seed in 0..20 {
+            let Outcome { new_requests, allowed, .. } = simulate(&rollout, seed);
+            if new_requests > allowed {
+                over.push(format!("{fault:?}, seed {seed}: {new_requests} of {allowed}"));
+            }
+        }
+    }
+    assert!(over.is_empty(), "{} of 400 over the limit: {over:?}", over.len());
+}
+
 /// Guards against good versions that are rolled back or late.
 #[test]
 fn good_version_completes_while_news_are_late() {
@@ -277,7 +302,7 @@
         let fault = if from_start { Fault::From(0.0) } else { Fault::UnderLoad };
         let per_second = upstreams as f64 * SLOTS.0 as f64 / 0.22 * utilization;
         let rollout = Rollout {
-            fault, failing: 0.5, per_second, burst, upstreams, news_delay, rollback_delay,
+            fault, failing: 0.5, per_second, burst, burst_from: 7.7, upstreams, news_delay, rollback_delay,
         };
         let outcome = simulate(&rollout, seed);
         prop_assert!(
