--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -5,15 +5,19 @@
 //! times are divided by the slowness of the machine at their start, so that a version is not blamed
 //! for the load of other work on its machine. The new version gets few requests at first, then
 //! enough to put one of its upstreams under load, and all requests only if nothing speaks against
-//! it. A version that turns bad late or under load therefore also stays within the exposure that
-//! the operators allow.
+//! it, and so late that those until the deadline are within what the operators allow to a bad
+//! version. A version that turns bad at any moment therefore also stays within it.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use oleandertiller_model::VersionName;
 use serde::{Deserialize, Serialize};
 
-use crate::exposure::ExposureLimit;
+use crate::exposure::{ExposureLimit, RequestCounts};
 
 /// Phase of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +52,9 @@
     /// Why it was rolled back, if it was.
     #[serde(rename = "why")]
     pub reason: Option<Arc<str>>,
+    /// Requests to the new version when the plan was written, for the next leader.
+    #[serde(default)]
+    pub exposed: u64,
 }
 
 impl RolloutPlan {
@@ -86,7 +93,6 @@
                 Self::Without(version.clone())
             }
             (Some(plan), _) => match plan.phase {
-                Phase::Running if plan.share >= 1.0 => Self::Only(plan.version.clone()),
                 Phase::Running => Self::Share(plan.version.clone(), plan.share),
                 Phase::Completed => Self::Only(plan.version.clone()),
                 Phase::RolledBack => Self::Without(plan.version.clone()),
@@ -131,7 +137,7 @@
 
 /// P-value below which the new version counts as bad while it gets all requests. It is tested only
 /// a few times then, and each second of delay costs a second of requests.
-pub const BAD_P_VALUE_AT_FULL_SHARE: f64 = 3e-3;
+const BAD_P_VALUE_AT_FULL_SHARE: f64 = 3e-3;
 
 /// P-value below which the share of the new version does not grow.
 const SUSPECT_P_VALUE: f64 = 0.05;
@@ -142,6 +148,10 @@
 /// Minimum number of the new version's answers before it gets all requests and before it completes.
 const MIN_NEW_ANSWERS: u64 = 12;
 
+/// Minimum number of the new version's answers in the last seconds before it gets all requests, unless
+/// it would be too late otherwise, and before it completes, unless the time is over.
+const MIN_RECENT_ANSWERS: u64 = 6;
+
 /// Answers of one version on one route.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -302,6 +312,64 @@
     if suspect { Finding::Suspect } else { Finding::Good(answers) }
 }
 
+/// Time over which the recent answers are assessed by themselves: long enough for tens of answers at
+/// a full share, short enough that earlier good answers do not hide a version that has turned bad.
+const RECENT_TIME: Duration = Duration::from_millis(2_500);
+
+/// Assesses a rollout by all answers and by those of the last seconds.
+#[derive(Clone, Debug, Default)]
+pub struct Assessor {
+    /// Evidence at earlier times, up to the first one that is older than [`RECENT_TIME`].
+    history: VecDeque<(Instant, Evidence)>,
+    /// When the version was first found to get all requests.
+    full_share_since: Option<Instant>,
+    recent_answers: u64,
+}
+
+impl Assessor {
+    /// Assesses the version of a plan.
+    pub fn assess(&mut self, all: &Evidence, plan: &RolloutPlan, now: Instant) -> Finding {
+        let bad_p_value = match plan.share >= 1.0 {
+            true => {
+                self.full_share_since.get_or_insert(now);
+                BAD_P_VALUE_AT_FULL_SHARE
+            }
+            false => {
+                self.full_share_since = None;
+                BAD_P_VALUE
+            }
+        };
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= RECENT_TIME;
+        while self.history.get(1).is_some_and(|(at, _)| is_old(*at)) {
+            self.history.pop_front();
+        }
+        let recent = match self.history.front() {
+            Some((at, before)) if is_old(*at) => all.since(before, &plan.version),
+            _ => all.clone(),
+        };
+        self.recent_answers = recent.answers(Some(&plan.version));
+        self.history.push_back((now, all.clone()));
+        let findings =
+            (assess(&recent, &plan.version, bad_p_value), assess(all, &plan.version, BAD_P_VALUE));
+        match findings {
+            (bad @ Finding::Bad(_), _) | (_, bad @ Finding::Bad(_)) => bad,
+            // At a full share few answers are enough to find it bad.
+            (Finding::Suspect, _) if plan.share < 1.0 => Finding::Suspect,
+            (_, finding) => finding,
+        }
+    }
+
+    /// Returns the number of the version's answers in the last seconds.
+    pub fn recent_answers(&self) -> u64 {
+        self.recent_answers
+    }
+
+    /// Returns the time for which the version has had all requests.
+    pub fn at_full_share(&self, now: Instant) -> Duration {
+        self.full_share_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+}
+
 /// What the bad answers did, for the reason of a rollback; their number; the number of all answers;
 /// and the rate of bad ones that a good version may have.
 type Comparison = (&'static str, u64, u64, f64);
@@ -339,23 +407,32 @@
     (1.0 - below).max(0.0)
 }
 
-/// Fraction of the time limit after which a version that isn't suspect gets all requests.
+/// Fraction of the time limit before which a version does not get all requests, even if the limit
+/// on them allows it.
 const FULL_SHARE_START: f64 = 0.68;
 
-/// Fraction of the time limit after which the share is no longer raised to all requests, because
-/// too little time would be left to see the effect.
-const FULL_SHARE_LATEST_START: f64 = 0.8;
+/// Time for which a version has all requests before its rollout completes, as a fraction of the
+/// time limit.
+const FULL_SHARE_DURATION: f64 = 0.1;
+
+/// Minimum of that time if the old version has no more requests to finish.
+const FULL_SHARE_IDLE_DURATION: Duration = Duration::from_millis(500);
 
-/// Minimum time for which a version has all requests before its rollout completes, as a fraction of
-/// the time limit.
-const FULL_SHARE_MIN_DURATION: f64 = 0.1;
+/// Minimum of that time if the deadline is near.
+const FULL_SHARE_MIN_DURATION: Duration = Duration::from_millis(200);
 
-/// Fraction of the time limit after which a rollout completes. The servers of the old version then
-/// stop at once, so the requests that they got until [`FULL_SHARE_START`] must have ended by then.
-const COMPLETION_START: f64 = 0.78;
+/// Factor by which the rate of requests may rise after the completion, when nothing limits them.
+const BURST_FACTOR: f64 = 2.0;
 
-/// Fraction of the time limit from which a version that is not shown to be good is rolled back.
-const ROLLOUT_END: f64 = 0.92;
+/// Time before the deadline at which a rollout completes at the latest: the time until the operators
+/// see it, and for a delayed assessment.
+const COMPLETION_MARGIN: Duration = Duration::from_millis(800);
+
+/// Time before the deadline from which a version gets all requests at the latest.
+const LATEST_FULL_SHARE: Duration = Duration::from_millis(1_300);
+
+/// Time before the deadline at which a version that is not shown to be good is rolled back.
+const ROLLBACK_MARGIN: Duration = Duration::from_millis(400);
 
 /// Fraction of the time limit after which one upstream of the new version is put under load: late
 /// enough to find a version that turns bad only after some seconds.
@@ -371,13 +448,28 @@
 const LOAD_TEST_FILL: f64 = 1.5;
 
 /// Share of the allowed exposure that may be used by the end of the load test.
-const LOAD_TEST_EXPOSURE_SHARE: f64 = 0.25;
+const LOAD_TEST_EXPOSURE_SHARE: f64 = 0.35;
+
+/// The same if the version is suspect: more answers decide whether it fails under load.
+const LOAD_TEST_SUSPECT_EXPOSURE_SHARE: f64 = 0.55;
 
-/// Requests per second of the new version before and after the load test.
+/// Requests per second of the new version before the load test.
 const CANARY_PER_SECOND: f64 = 2.0;
 
+/// Requests per second of the new version after the load test.
+const WATCH_PER_SECOND: f64 = 2.0;
+
+/// Share of the allowed exposure for the last seconds before the version gets all requests, so that
+/// there are recent answers.
+const RECHECK_EXPOSURE_SHARE: f64 = 0.08;
+
+/// Time before the full share over which they are spread, and that before it in which the nodes learn
+/// of their share.
+const RECHECK_DURATION: Duration = Duration::from_millis(1_500);
+const RECHECK_NEWS_TIME: Duration = Duration::from_millis(500);
+
 /// Minimum and maximum share of an unproved version outside the load test.
-const CANARY_SHARE_RANGE: (f64, f64) = (0.02, 0.15);
+const CANARY_SHARE_RANGE: (f64, f64) = (0.01, 0.25);
 
 /// Ratio of the smaller to the larger of two shares below which the share is changed.
 const MIN_SHARE_RATIO: f64 = 0.6;
@@ -393,12 +485,21 @@
     pub new_is_serving: bool,
     /// Time for which the new version has had all requests.
     pub at_full_share: Duration,
-    /// Answers of the service per second; `None` until they have been counted for long enough.
-    pub answers_per_second: Option<f64>,
+    /// Whether the version is suspect.
+    pub suspect: bool,
+    /// Answers of the new version in the last seconds.
+    pub recent_answers: u64,
+    /// Requests of the service per second at present; `None` until they have been counted for long
+    /// enough.
+    pub requests_per_second: Option<f64>,
     /// Requests per second that fill all slots of one upstream.
     pub upstream_per_second: f64,
-    /// Number of answers of the new version.
-    pub new_answers: u64,
+    /// Requests that upstreams of the old version are running.
+    pub old_running: u32,
+    /// Requests since the order.
+    pub counts: RequestCounts,
+    /// Requests since the order if all grants are used.
+    pub committed: RequestCounts,
     /// Limit on the requests to a bad version.
     pub exposure: ExposureLimit,
 }
@@ -409,18 +510,100 @@
         self.elapsed.as_secs_f64() / self.time_limit.as_secs_f64().max(0.001)
     }
 
+    fn time_left(&self) -> Duration {
+        self.time_limit.saturating_sub(self.elapsed)
+    }
+
+    /// Returns the number of requests that the service gets in a time at the present rate.
+    fn requests_in(&self, time: Duration) -> f64 {
+        self.requests_per_second.unwrap_or(0.0) * time.as_secs_f64()
+    }
+
+    /// Returns how many requests a bad version may get in all, at the present rate.
+    fn expected_limit(&self) -> f64 {
+        let all = self.counts.all + self.requests_in(self.time_left()) as u64;
+        self.exposure.allowed(RequestCounts { all, ..self.counts })
+    }
+
+    /// Returns how many requests the load test may get in addition to `counts`.
+    fn load_test_room(&self, counts: RequestCounts) -> f64 {
+        let share = match self.suspect {
+            true => LOAD_TEST_SUSPECT_EXPOSURE_SHARE,
+            false => LOAD_TEST_EXPOSURE_SHARE,
+        };
+        self.expected_limit() * share - counts.new as f64
+    }
+
+    fn is_under_load_test(&self) -> bool {
+        let is_time = (LOAD_TEST_START..FULL_SHARE_START).contains(&self.elapsed_fraction());
+        is_time && self.load_test_room(self.counts) >= 1.0
+    }
+
+    /// Returns whether a version that is not suspect may get all requests: those until the deadline
+    /// are within the limit, or it would be too late otherwise.
+    fn may_take_all(&self) -> bool {
+        let time_left = self.time_left();
+        let covered = self.requests_in(time_left) <= self.exposure.remaining(self.counts);
+        self.elapsed_fraction() >= FULL_SHARE_START
+            && time_left >= COMPLETION_MARGIN + FULL_SHARE_MIN_DURATION
+            && (covered && self.recent_answers >= MIN_RECENT_ANSWERS
+                || time_left <= LATEST_FULL_SHARE)
+    }
+
+    /// Returns whether a version that is not suspect, and has had all requests, has been tested long
+    /// enough, and the old version's upstreams may stop.
+    fn may_complete(&self) -> bool {
+        let time_left = self.time_left();
+        if self.recent_answers < MIN_RECENT_ANSWERS && time_left > ROLLBACK_MARGIN {
+            return false;
+        }
+        if time_left <= COMPLETION_MARGIN {
+            return self.at_full_share >= FULL_SHARE_MIN_DURATION;
+        }
+        let tested = self.at_full_share >= self.time_limit.mul_f64(FULL_SHARE_DURATION)
+            || self.at_full_share >= FULL_SHARE_IDLE_DURATION && self.old_running == 0;
+        let rest = self.requests_in(time_left) * BURST_FACTOR;
+        tested && rest <= self.exposure.remaining(self.counts)
+    }
+
     /// Returns the share of an unproved version.
     fn canary_share(&self) -> f64 {
-        let Some(rate) = self.answers_per_second else { return CANARY_SHARE_RANGE.0 };
-        let all = rate * self.time_limit.as_secs_f64();
-        let allowed = self.exposure.share * all + self.exposure.extra;
-        if self.elapsed_fraction() >= LOAD_TEST_START
-            && (self.new_answers as f64) < allowed * LOAD_TEST_EXPOSURE_SHARE
-        {
+        let Some(rate) = self.requests_per_second else { return CANARY_SHARE_RANGE.0 };
+        let rate = rate.max(1.0);
+        if self.is_under_load_test() {
             let fill = self.upstream_per_second * LOAD_TEST_FILL;
-            return (fill / rate.max(1.0)).clamp(CANARY_SHARE_RANGE.0, LOAD_TEST_MAX_SHARE);
+            return (fill / rate).clamp(CANARY_SHARE_RANGE.0, LOAD_TEST_MAX_SHARE);
+        }
+        let covered = Duration::from_secs_f64(self.exposure.remaining(self.counts).min(1e6) / rate);
+        let full_share_in = self.time_left().saturating_sub(covered.max(LATEST_FULL_SHARE));
+        let per_second = match self.elapsed_fraction() {
+            _ if full_share_in <= RECHECK_DURATION + RECHECK_NEWS_TIME => {
+                self.expected_limit() * RECHECK_EXPOSURE_SHARE / RECHECK_DURATION.as_secs_f64()
+            }
+            ..LOAD_TEST_START => CANARY_PER_SECOND,
+            _ => WATCH_PER_SECOND,
+        };
+        (per_second / rate).clamp(CANARY_SHARE_RANGE.0, CANARY_SHARE_RANGE.1)
+    }
+
+    /// Returns how many requests the leader may grant to the new version, which has `share`, in
+    /// addition to those granted before.
+    pub fn grantable(&self, share: f64) -> f64 {
+        let remaining = self.exposure.remaining(self.committed);
+        if share >= 1.0 {
+            // Nothing limits the requests after the completion.
+            let after = COMPLETION_MARGIN.min(self.time_left());
+            return remaining - self.requests_in(after) * BURST_FACTOR;
+        }
+        match self.is_under_load_test() {
+            true => remaining.min(self.load_test_room(self.committed)),
+            false => remaining,
         }
-        (CANARY_PER_SECOND / rate.max(1.0)).clamp(CANARY_SHARE_RANGE.0, CANARY_SHARE_RANGE.1)
+    }
+
+    /// Returns the time from now until the rollout completes at the latest.
+    pub fn completion_in(&self) -> Duration {
+        self.time_left().saturating_sub(COMPLETION_MARGIN)
     }
 }
 
@@ -439,34 +622,25 @@
 
 /// Returns the next step of a running rollout.
 pub fn next_step(plan: &RolloutPlan, finding: &Finding, progress: &RolloutProgress) -> Step {
-    let elapsed_fraction = progress.elapsed_fraction();
     let answers = match finding {
         Finding::Bad(why) => return Step::RollBack(why.clone()),
-        Finding::Suspect if elapsed_fraction >= ROLLOUT_END => {
-            return Step::RollBack("not shown to be good in time".to_owned());
-        }
         Finding::Suspect => 0,
         Finding::Good(answers) => *answers,
     };
-    if elapsed_fraction >= ROLLOUT_END && (answers == 0 || !progress.new_is_serving) {
-        return Step::RollBack("it did not serve in time".to_owned());
+    let proved = progress.new_is_serving && answers >= MIN_NEW_ANSWERS;
+    let has_all = plan.share >= 1.0;
+    if has_all && proved && progress.may_complete() {
+        return Step::Complete;
     }
-    if elapsed_fraction >= ROLLOUT_END && plan.share < 1.0 {
+    if progress.time_left() <= ROLLBACK_MARGIN && !(has_all && proved) {
         return Step::RollBack("not shown to be good in time".to_owned());
     }
-    let proved = progress.new_is_serving && answers >= MIN_NEW_ANSWERS;
-    if plan.share >= 1.0 {
-        let tested = progress.at_full_share.as_secs_f64()
-            >= FULL_SHARE_MIN_DURATION * progress.time_limit.as_secs_f64();
-        // A suspicion would cost a second of all requests until it is confirmed.
-        let keep = progress.new_is_serving && *finding != Finding::Suspect;
-        return match (keep, proved && tested && elapsed_fraction >= COMPLETION_START) {
-            (false, _) => Step::Share(CANARY_SHARE_RANGE.0),
-            (true, true) => Step::Complete,
-            (true, false) => Step::Stay,
-        };
+    if has_all {
+        // A suspicion alone changes nothing: the grants limit the requests until it is decided.
+        let keep = progress.new_is_serving;
+        return if keep { Step::Stay } else { Step::Share(CANARY_SHARE_RANGE.0) };
     }
-    if proved && (FULL_SHARE_START..FULL_SHARE_LATEST_START).contains(&elapsed_fraction) {
+    if proved && progress.may_take_all() {
         return Step::Share(1.0);
     }
     let share = progress.canary_share();
--- a/crates/mesh/tests/mesh/exposure.rs
+++ b/crates/mesh/tests/mesh/exposure.rs
@@ -1,16 +1,18 @@
 //! Simulates rollouts with requests that take time and news that arrive late, and checks how many
 //! requests a bad version gets.
 
-use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use oleandertiller_mesh::{
-    exposure::ExposureLimit,
-    rollout::{
-        BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, Finding, Phase, RolloutPlan,
-        RolloutProgress, Step, assess, next_step,
-    },
+    exposure::{Demand, ExposureLedger, ExposureLimit, Grant, OwnerExposure, RequestRate},
+    rollout::{Assessor, Evidence, Finding, Phase, RolloutPlan, RolloutProgress, Step, next_step},
 };
-use oleandertiller_model::VersionName;
+use oleandertiller_model::{NodeName, VersionName};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -61,6 +63,12 @@
     news_delay: f64,
     /// Time until all nodes follow a rollback.
     rollback_delay: f64,
+    /// Period, in seconds after the order, in which the leader does nothing.
+    leader_absent: (f64, f64),
+    /// Period in which the leader cannot write to the store.
+    store_silent: (f64, f64),
+    /// Seconds after the order at which all owners of the new version restart.
+    owners_restart: f64,
 }
 
 /// Outcome of a simulated rollout.
@@ -91,6 +99,59 @@
         share,
         started_ms: 0,
         reason: None,
+        exposed: 0,
+    }
+}
+
+/// The owners of the new version and of one old upstream, with the requests that they start.
+struct Owners {
+    started_at: Instant,
+    new: Vec<OwnerExposure>,
+    old: OwnerExposure,
+    incarnation: u64,
+}
+
+const ORDER: u64 = 7;
+
+impl Owners {
+    fn new(count: usize, started_at: Instant) -> Self {
+        let mut owner = OwnerExposure::default();
+        owner.set_order(Some((ORDER, started_at)));
+        Self { started_at, new: vec![owner.clone(); count], old: owner, incarnation: 1 }
+    }
+
+    fn at(&self, now: f64) -> Instant {
+        self.started_at + Duration::from_secs_f64(now)
+    }
+
+    fn names(&self) -> Vec<(NodeName, u64)> {
+        let name = |index| NodeName::new(format!("n{index:03}"));
+        (0..self.new.len()).map(|index| (name(index), self.incarnation)).collect()
+    }
+
+    /// Delivers grants and collects the counts.
+    fn report(&mut self, ledger: &mut ExposureLedger, demand: Option<Demand>, now: f64) {
+        let (at, version) = (self.at(now), "v2".into());
+        let names = self.names();
+        if let Some(demand) = demand {
+            for (owner, up_to) in self.new.iter_mut().zip(ledger.grant(&names, demand, at)) {
+                if let Some(up_to) = up_to {
+                    owner.on_grant(Grant { order_revision: ORDER, fence: 1, up_to }, at);
+                }
+            }
+        }
+        ledger.begin_round();
+        for (name, owner) in names.into_iter().zip(&self.new) {
+            ledger.on_counts(name, &owner.counts(at), ORDER, &version);
+        }
+        ledger.on_counts(("old".into(), 1), &self.old.counts(at), ORDER, &version);
+    }
+
+    fn restart(&mut self, now: f64) {
+        self.incarnation += 1;
+        let mut owner = OwnerExposure::default();
+        owner.set_order(Some((ORDER, self.at(now))));
+        self.new.fill(owner);
     }
 }
 
@@ -140,11 +201,14 @@
     let (old, new): (VersionName, VersionName) = ("v1".into(), "v2".into());
     let mut evidence = Evidence::default();
     let mut upstreams = Upstreams::new(rollout.upstreams);
+    let mut owners = Owners::new(rollout.upstreams, Instant::now());
+    let (mut ledger, mut demand) = (ExposureLedger::default(), None);
+    let (mut assessor, mut request_rate) = (Assessor::default(), RequestRate::default());
     let mut runs: BinaryHeap<Reverse<Run>> = BinaryHeap::new();
     // The share that the nodes follow, the one that the leader has set, and when they follow it.
     let (mut share, mut set_share, mut follow_at) = (0.0, 0.0, f64::INFINITY);
-    let (mut full_share, mut phase) = (None, None);
-    let (mut new_requests, mut all_requests, mut now, mut assess_at) = (0.0, 0.0, 0.0, 2.0);
+    let (mut phase, mut restarted) = (None, false);
+    let (mut new_requests, mut all_requests, mut now, mut assess_at) = (0.0, 0.0, 0.0, 0.3);
     while now < TIME_LIMIT {
         let in_burst = (0.0..BURST_LENGTH).contains(&(now - rollout.burst_from));
         let burst = if in_burst { rollout.burst } else { 1.0 };
@@ -163,6 +227,10 @@
         if now >= follow_at {
             (share, follow_at) = (set_share, f64::INFINITY);
         }
+        if now >= rollout.owners_restart && !restarted {
+            restarted = true;
+            owners.restart(now);
+        }
         all_requests += 1.0;
         let route = match rng.random_range(0..10) {
             0..6 => 0,
@@ -170,7 +238,14 @@
             _ => 2,
         };
         upstreams.draw_slowness(now, &mut rng);
-        let upstream = rng.random_bool(share).then(|| upstreams.pick(share, &mut rng));
+        let at = owners.at(now);
+        let needs_grant = phase != Some(Phase::Completed);
+        let mut upstream = rng.random_bool(share).then(|| upstreams.pick(share, &mut rng));
+        upstream =
+            upstream.filter(|upstream| owners.new[*upstream].try_start(&new, needs_grant, at));
+        if upstream.is_none() {
+            owners.old.try_start(&old, false, at);
+        }
         let faulty = upstream.is_some_and(|upstream| match rollout.fault {
             Fault::Never => false,
             Fault::From(from) => now >= from,
@@ -185,33 +260,45 @@
         }
         let ends = Duration::from_secs_f64(now) + time;
         runs.push(Reverse(Run { ends, upstream, route, time, failed }));
-        if now < assess_at || phase.is_some() {
+        let in_period = |(from, to): (f64, f64)| (from..to).contains(&now);
+        if now < assess_at || phase.is_some() || in_period(rollout.leader_absent) {
             continue;
         }
-        assess_at = now + ASSESS_INTERVAL;
+        owners.report(&mut ledger, demand, now);
         let plan = share_plan(set_share);
-        let mut finding = assess(&evidence, &new, BAD_P_VALUE);
-        if set_share >= 1.0 {
-            let (_, before) = full_share.get_or_insert_with(|| (now, evidence.clone()));
-            let window = evidence.since(before, &new);
-            if let bad @ Finding::Bad(_) = assess(&window, &new, BAD_P_VALUE_AT_FULL_SHARE) {
-                finding = bad;
-            }
-        } else {
-            full_share = None;
-        }
-        let at_full_share = full_share.as_ref().map_or(0.0, |(since, _)| now - since);
+        let finding = assessor.assess(&evidence, &plan, at);
+        let counts = ledger.counts();
         let progress = RolloutProgress {
             elapsed: Duration::from_secs_f64(now),
             time_limit: Duration::from_secs_f64(TIME_LIMIT),
             new_is_serving: true,
-            at_full_share: Duration::from_secs_f64(at_full_share),
-            answers_per_second: (now > 3.2).then(|| evidence.answers(None) as f64 / now),
+            at_full_share: assessor.at_full_share(at),
+            suspect: finding == Finding::Suspect,
+            recent_answers: assessor.recent_answers(),
+            requests_per_second: request_rate.record(counts.all, at),
             upstream_per_second: SLOTS.0 as f64 / 0.22,
-            new_answers: evidence.answers(Some(&new)),
+            old_running: runs.iter().filter(|run| run.0.upstream.is_none()).count() as u32,
+            counts,
+            committed: ledger.committed(),
             exposure: EXPOSURE,
         };
-        match next_step(&plan, &finding, &progress) {
+        let step = next_step(&plan, &finding, &progress);
+        let share_to_grant = if let Step::Share(next) = step { next } else { set_share };
+        let is_bad = matches!(finding, Finding::Bad(_));
+        demand = progress.requests_per_second.filter(|_| !is_bad).map(|per_second| Demand {
+            share: share_to_grant,
+            per_second,
+            room: progress.grantable(share_to_grant),
+        });
+        assess_at = now
+            + match progress.completion_in().as_secs_f64() {
+                left if left > 0.0 => ASSESS_INTERVAL.min(left),
+                _ => ASSESS_INTERVAL,
+            };
+        if in_period(rollout.store_silent) {
+            continue;
+        }
+        match step {
             Step::Stay => {}
             Step::Share(next) => (set_share, follow_at) = (next, now + rollout.news_delay),
             Step::Complete => {
@@ -239,8 +326,13 @@
     upstreams: 7,
     news_delay: 0.5,
     rollback_delay: 0.2,
+    leader_absent: NEVER,
+    store_silent: NEVER,
+    owners_restart: f64::INFINITY,
 };
 
+const NEVER: (f64, f64) = (0.0, 0.0);
+
 /// Guards against a bad version that passes its test on one upstream and then gets all requests
 /// until its failures show: it must not get more than the operators allow.
 #[test]
@@ -283,6 +375,22 @@
     });
     assert!(completed.count() >= 190);
 }
+
+/// Guards against a version that is rolled back because too few requests show that it is good, at
+/// the rates of a small service.
+#[test]
+fn good_version_of_a_small_service_completes() {
+    let rollout = Rollout { fault: Fault::Never, per_second: 22.0, upstreams: 4, ..LENDING_DESK };
+    for burst_from in [7.7, 12.5] {
+        let rollout = Rollout { burst_from, ..rollout };
+        let completed = (0..200).filter(|seed| {
+            let outcome = simulate(&rollout, *seed);
+            outcome.phase == Some(Phase::Completed)
+        });
+        assert!(completed.count() >= 190);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
 
@@ -302,7 +410,44 @@
         let fault = if from_start { Fault::From(0.0) } else { Fault::UnderLoad };
         let per_second = upstreams as f64 * SLOTS.0 as f64 / 0.22 * utilization;
         let rollout = Rollout {
-            fault, failing: 0.5, per_second, burst, burst_from: 7.7, upstreams, news_delay, rollback_delay,
+            fault, per_second, burst, upstreams, news_delay, rollback_delay, ..LENDING_DESK
+        };
+        let outcome = simulate(&rollout, seed);
+        prop_assert!(
+            outcome.new_requests <= outcome.allowed,
+            "{} of {}", outcome.new_requests, outcome.allowed
+        );
+    }
+
+    /// Guards against a bound that one process keeps: the leader is absent, the store is silent or
+    /// owners restart while the version turns bad.
+    #[test]
+    fn version_that_turns_bad_stays_within_the_exposure_under_faults(
+        upstreams in 4_usize..150,
+        utilization in 0.1_f64..0.35,
+        burst in 1.0_f64..1.8,
+        burst_from in 2.0_f64..14.0,
+        bad_from in 0.0_f64..16.0,
+        news_delay in 0.1_f64..0.8,
+        absent_from in 2.0_f64..16.0,
+        absent_for in 0.0_f64..4.0,
+        silent_from in 2.0_f64..16.0,
+        silent_for in 0.0_f64..6.0,
+        owners_restart in 2.0_f64..20.0,
+        seed in any::<u64>(),
+    ) {
+        let per_second = upstreams as f64 * SLOTS.0 as f64 / 0.22 * utilization;
+        let rollout = Rollout {
+            fault: Fault::From(bad_from),
+            per_second,
+            burst,
+            burst_from,
+            upstreams,
+            news_delay,
+            leader_absent: (absent_from, absent_from + absent_for),
+            store_silent: (silent_from, silent_from + silent_for),
+            owners_restart,
+            ..LENDING_DESK
         };
         let outcome = simulate(&rollout, seed);
         prop_assert!(
--- a/crates/mesh/tests/mesh/rollout.rs
+++ b/crates/mesh/tests/mesh/rollout.rs
@@ -1,12 +1,15 @@
 //! Allowed versions, assessment of the evidence, and steps of a rollout.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use oleandertiller_mesh::{
-    exposure::ExposureLimit,
+    exposure::{ExposureLimit, RequestCounts},
     rollout::{
-        AllowedVersions, BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, Finding, Phase,
-        RolloutPlan, RolloutProgress, Step, assess, next_step,
+        AllowedVersions, Assessor, BAD_P_VALUE, Evidence, Finding, Phase, RolloutPlan,
+        RolloutProgress, Step, assess, next_step,
     },
 };
 use oleandertiller_model::VersionName;
@@ -20,7 +23,15 @@
 }
 
 fn plan(phase: Phase, share: f64) -> RolloutPlan {
-    RolloutPlan { order_revision: 7, version: v("v2"), phase, share, started_ms: 0, reason: None }
+    RolloutPlan {
+        order_revision: 7,
+        version: v("v2"),
+        phase,
+        share,
+        started_ms: 0,
+        reason: None,
+        exposed: 0,
+    }
 }
 
 /// Guards against a new version that serves before a leader observes it, or after it was rolled
@@ -35,7 +46,8 @@
     assert_eq!(allows(None, None), (true, true));
     assert_eq!(allows(None, Some(7)), (true, false));
     assert_eq!(allows(Some(&plan(Phase::Running, 0.1)), Some(7)), (true, true));
-    assert_eq!(allows(Some(&plan(Phase::Running, 1.0)), Some(7)), (false, true));
+    // The old version serves what the new one may not get.
+    assert_eq!(allows(Some(&plan(Phase::Running, 1.0)), Some(7)), (true, true));
     assert_eq!(allows(Some(&plan(Phase::Completed, 1.0)), Some(7)), (false, true));
     assert_eq!(allows(Some(&plan(Phase::RolledBack, 0.0)), Some(7)), (true, false));
     assert_eq!(allows(Some(&plan(Phase::RolledBack, 0.0)), None), (true, false));
@@ -84,27 +96,56 @@
     assert!(matches!(assess(&evidence, &v("v2"), BAD_P_VALUE), Finding::Bad(_)));
 }
 
-/// Guards against answers from before a change of load that hide the answers after it.
+/// Guards against earlier good answers that hide a version that has turned bad.
 #[test]
-fn window_holds_only_later_answers() {
-    let before = evidence((200, 1), (60, 0), 200);
-    let mut after = before.clone();
-    after.merge(&evidence((0, 0), (14, 3), 200));
-    assert!(!matches!(assess(&after, &v("v2"), BAD_P_VALUE), Finding::Bad(_)));
-    let window = after.since(&before, &v("v2"));
-    assert_eq!(window.answers(Some(&v("v2"))), 14);
-    assert!(matches!(assess(&window, &v("v2"), BAD_P_VALUE_AT_FULL_SHARE), Finding::Bad(_)));
+fn recent_failures_are_not_hidden_by_earlier_answers() {
+    let mut assessor = Assessor::default();
+    let canary = plan(Phase::Running, 0.02);
+    let start = Instant::now();
+    let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
+    let mut all = evidence((400, 2), (160, 0), 200);
+    for step in 0..12 {
+        let finding = assessor.assess(&all, &canary, at(f64::from(step) * 0.25));
+        assert_eq!(finding, Finding::Good(160));
+    }
+    all.merge(&evidence((0, 0), (8, 4), 200));
+    assert!(!matches!(assess(&all, &v("v2"), BAD_P_VALUE), Finding::Bad(_)));
+    assert!(matches!(assessor.assess(&all, &canary, at(3.0)), Finding::Bad(_)));
 }
 
-fn progress(elapsed: f64, answers_per_second: Option<f64>, new_answers: u64) -> RolloutProgress {
+/// Guards against a full share that goes on for longer than a second because a fault that shows
+/// only there counts as chance.
+#[test]
+fn few_failures_at_full_share_are_enough() {
+    let mut assessor = Assessor::default();
+    let full_share = plan(Phase::Running, 1.0);
+    let now = Instant::now();
+    let mut all = evidence((200, 1), (60, 0), 200);
+    assessor.assess(&all, &plan(Phase::Running, 0.02), now);
+    assert_eq!(assessor.at_full_share(now), Duration::ZERO);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(assessor.assess(&all, &full_share, later), Finding::Good(60));
+    all.merge(&evidence((0, 0), (14, 3), 200));
+    assert!(matches!(assessor.assess(&all, &full_share, later), Finding::Bad(_)));
+    let end = later + Duration::from_secs(1);
+    assert_eq!(assessor.at_full_share(end), Duration::from_secs(1));
+}
+
+/// Progress of a service with 80 requests per second since the order, without any to the new version.
+fn progress(elapsed: f64) -> RolloutProgress {
+    let counts = RequestCounts { all: (80.0 * elapsed) as u64, new: 0 };
     RolloutProgress {
         elapsed: Duration::from_secs_f64(elapsed),
         time_limit: Duration::from_secs(16),
         new_is_serving: true,
         at_full_share: Duration::ZERO,
-        answers_per_second,
+        suspect: false,
+        recent_answers: 20,
+        requests_per_second: Some(80.0),
         upstream_per_second: 60.0,
-        new_answers,
+        old_running: 20,
+        counts,
+        committed: counts,
         exposure: EXPOSURE,
     }
 }
@@ -115,21 +156,53 @@
 fn version_completes_after_a_time_at_full_share() {
     let good = Finding::Good(80);
     let full_share = plan(Phase::Running, 1.0);
-    let now = progress(13.0, Some(80.0), 80);
-    assert_eq!(next_step(&full_share, &good, &now), Step::Stay);
-    let now = RolloutProgress { at_full_share: Duration::from_secs(2), ..now };
+    let now = progress(15.5);
+    let after = |at_full_share: f64, elapsed: f64, per_second: f64| {
+        let now = RolloutProgress {
+            at_full_share: Duration::from_secs_f64(at_full_share),
+            requests_per_second: Some(per_second),
+            ..progress(elapsed)
+        };
+        next_step(&full_share, &good, &now)
+    };
+    assert_eq!(after(0.1, 15.5, 80.0), Step::Stay);
+    // The old version has requests left to finish.
+    assert_eq!(after(1.0, 14.5, 5.0), Step::Stay);
+    assert_eq!(after(1.6, 14.5, 5.0), Step::Complete);
+    // The limit does not cover the requests until the deadline if their rate doubles.
+    assert_eq!(after(1.6, 14.5, 80.0), Step::Stay);
+    let at_full_share = Duration::from_millis(600);
+    let now = RolloutProgress { at_full_share, ..now };
     assert_eq!(next_step(&full_share, &good, &now), Step::Complete);
+    assert_eq!(next_step(&full_share, &Finding::Suspect, &now), Step::Stay);
     assert!(matches!(next_step(&full_share, &Finding::Bad("x".into()), &now), Step::RollBack(_)));
+    let end = RolloutProgress { at_full_share, ..progress(15.8) };
+    assert!(matches!(next_step(&full_share, &Finding::Suspect, &end), Step::RollBack(_)));
     let canary = plan(Phase::Running, 0.1);
-    assert!(matches!(
-        next_step(&canary, &good, &progress(15.0, Some(80.0), 80)),
-        Step::RollBack(_)
-    ));
-    assert_eq!(next_step(&canary, &good, &progress(11.0, Some(80.0), 80)), Step::Share(1.0));
+    assert!(matches!(next_step(&canary, &good, &progress(15.8)), Step::RollBack(_)));
+    assert_eq!(next_step(&canary, &good, &progress(15.0)), Step::Share(1.0));
     let gone = RolloutProgress { new_is_serving: false, ..now };
     assert!(matches!(next_step(&full_share, &good, &gone), Step::Share(share) if share < 0.1));
 }
 
+/// Guards against a full share that exceeds the limit if the version turns bad after it began, and
+/// against one that waits although the limit covers all requests.
+#[test]
+fn full_share_begins_when_the_limit_covers_the_rest() {
+    let (good, canary) = (Finding::Good(80), plan(Phase::Running, 0.02));
+    let begins = |now: &RolloutProgress| next_step(&canary, &good, now) == Step::Share(1.0);
+    // 0.1 of 1,080 requests and 50 allow 2.2 s of 80 per second.
+    assert!(!begins(&progress(13.5)));
+    assert!(begins(&progress(14.0)));
+    let used = RequestCounts { new: 100, ..progress(14.0).counts };
+    assert!(!begins(&RolloutProgress { counts: used, ..progress(14.0) }));
+    let burst = RolloutProgress { requests_per_second: Some(200.0), ..progress(14.0) };
+    assert!(!begins(&burst));
+    let small = RequestCounts { all: 55, new: 5 };
+    let rare = RolloutProgress { requests_per_second: Some(5.0), counts: small, ..progress(11.0) };
+    assert!(begins(&rare));
+}
+
 /// Behavior of the new version.
 #[derive(Clone, Copy, Debug)]
 enum Behavior {
@@ -147,13 +220,14 @@
     let (time_limit, interval) = (16.0, 0.25);
     let routes: [Arc<str>; 2] = ["lookup".into(), "release".into()];
     let mut evidence = Evidence::default();
-    let (mut share, mut new_requests, mut full_since) = (0.0, 0, None);
-    let mut before = None;
-    let mut time = 2.0;
+    let mut assessor = Assessor::default();
+    let (mut share, mut counts) = (0.0, RequestCounts::default());
+    let (started_at, mut time) = (Instant::now(), 2.0);
     while time < time_limit {
         for _ in 0..(rate * interval) as u32 {
             let new = rng.random_bool(share);
-            new_requests += u64::from(new);
+            counts.all += 1;
+            counts.new += u64::from(new);
             let failing = match behavior {
                 Behavior::Good => 0.005,
                 Behavior::Fails(part, from) if time >= from => part,
@@ -166,31 +240,25 @@
             evidence.record(&v(if new { "v2" } else { "v1" }), route, (!failed).then_some(time));
         }
         time += interval;
-        let plan = plan(Phase::Running, share);
-        let window = match share >= 1.0 {
-            true => {
-                full_since.get_or_insert(time);
-                evidence.since(before.get_or_insert_with(|| evidence.clone()), &v("v2"))
-            }
-            false => Evidence::default(),
-        };
-        let finding = match assess(&window, &v("v2"), BAD_P_VALUE_AT_FULL_SHARE) {
-            bad @ Finding::Bad(_) => bad,
-            _ => assess(&evidence, &v("v2"), BAD_P_VALUE),
-        };
-        let at_full_share = full_since.map_or(0.0, |since: f64| time - since);
+        let (plan, now) = (plan(Phase::Running, share), started_at + Duration::from_secs_f64(time));
+        let finding = assessor.assess(&evidence, &plan, now);
         let now = RolloutProgress {
-            at_full_share: Duration::from_secs_f64(at_full_share),
-            ..progress(time, (time > 3.2).then_some(rate), evidence.answers(Some(&v("v2"))))
+            at_full_share: assessor.at_full_share(now),
+            suspect: finding == Finding::Suspect,
+            recent_answers: assessor.recent_answers(),
+            requests_per_second: (time > 3.2).then_some(rate),
+            counts,
+            committed: counts,
+            ..progress(time)
         };
         match next_step(&plan, &finding, &now) {
             Step::Stay => {}
             Step::Share(new) => share = new,
-            Step::Complete => return (Some(Phase::Completed), new_requests),
-            Step::RollBack(_) => return (Some(Phase::RolledBack), new_requests),
+            Step::Complete => return (Some(Phase::Completed), counts.new),
+            Step::RollBack(_) => return (Some(Phase::RolledBack), counts.new),
         }
     }
-    (None, new_requests)
+    (None, counts.new)
 }
 
 /// Guards against a bad version that gets more requests than the operators allow, and against
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -28,7 +28,7 @@
     deployment_state::DeploymentState,
     flag::Flag,
     ingress::Ingress,
-    message::{OFFER_PATH, Offer, REPORT_PATH},
+    message::{OFFER_PATH, Offer, REPORT_PATH, ReportRequest},
     metrics::Metrics,
     owner::{Owner, OwnerConfig},
     registration::Registration,
@@ -275,7 +275,10 @@
                 let Shared { change_feed, clock, timers, .. } = &*self.0;
                 Some(codec::encode(&change_feed.answer(request, clock, timers).await))
             }
-            REPORT_PATH => Some(codec::encode(&self.0.owner.report())),
+            REPORT_PATH => {
+                let request: ReportRequest = codec::decode(&body).ok()?;
+                Some(codec::encode(&self.0.owner.report(request)))
+            }
             _ => None,
         }
     }
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -144,6 +144,13 @@
         plan.is_some_and(|(_, plan)| plan.phase == Phase::Running && plan.version == *version)
     }
 
+    /// Returns whether requests to a version need a grant of its rollout's leader; `None` if this
+    /// node knows no plan for the version.
+    pub fn needs_grant(&self, service: &ServiceName, version: &VersionName) -> Option<bool> {
+        let (_, plan) = self.plans.get(service)?;
+        (plan.version == *version).then_some(plan.phase == Phase::Running)
+    }
+
     /// Returns whether any service has a running rollout, or an order that no leader has taken up.
     pub fn has_open_rollout(&self) -> bool {
         let running = self.plans.values().any(|(_, plan)| plan.phase == Phase::Running);
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -16,7 +16,7 @@
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
     members::NodeRecord,
-    placement::{shortest_wait, sort_by_cost},
+    placement::{Candidate, shortest_wait, sort_by_cost},
     rollout::AllowedVersions,
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
@@ -66,6 +66,20 @@
     class: PriorityClass,
 }
 
+/// Owners that may get an offer, the best first.
+struct RankedOwners {
+    preferred: std::vec::IntoIter<Arc<NodeRecord>>,
+    /// Owners that are asked instead once one of the first refuses for its version.
+    fallback: Option<std::vec::IntoIter<Arc<NodeRecord>>>,
+}
+
+impl RankedOwners {
+    fn new(preferred: Vec<Arc<NodeRecord>>, fallback: Option<Vec<Arc<NodeRecord>>>) -> Self {
+        let fallback = fallback.map(Vec::into_iter);
+        Self { preferred: preferred.into_iter(), fallback }
+    }
+}
+
 /// Outcome of one round of offers.
 enum RoundOutcome {
     /// An owner sent the request to its upstream.
@@ -309,10 +323,12 @@
         version_draw: f64,
         conditions: StartConditions,
     ) -> RoundOutcome {
-        let owners = self.rank_owners(request, attempts, version_draw);
+        let RankedOwners { mut preferred, mut fallback } =
+            self.rank_owners(request, attempts, version_draw);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
-        for record in owners.into_iter().take(MAX_OWNERS_PER_ROUND) {
+        for _ in 0..MAX_OWNERS_PER_ROUND {
+            let Some(record) = preferred.next() else { break };
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -321,8 +337,15 @@
                 Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state }) => {
                     attempts.record_hop(&record.node, kind.answer().name);
                     why = kind;
-                    if matches!(kind, ErrorKind::Overloaded | ErrorKind::Cold) {
-                        states.push((record, state));
+                    match kind {
+                        ErrorKind::Overloaded | ErrorKind::Cold => states.push((record, state)),
+                        // The other owners of the version are likely to refuse as well.
+                        ErrorKind::VersionVetoed => {
+                            if let Some(owners) = fallback.take() {
+                                preferred = owners;
+                            }
+                        }
+                        _ => {}
                     }
                 }
                 Ok(Reply { end, .. }) => {
@@ -387,15 +410,14 @@
         }
     }
 
-    /// Returns the owners that may get an offer, the best first.
+    /// Returns the owners that may get an offer.
     fn rank_owners(
         &self,
         request: &ClientRequest,
         attempts: &Attempts,
         version_draw: f64,
-    ) -> Vec<Arc<NodeRecord>> {
+    ) -> RankedOwners {
         let now = self.shared.clock.now();
-        let settings = &self.shared.settings.node;
         let deployment = self.shared.deployment();
         let mut owners = deployment.owners(&request.service, now);
         {
@@ -404,30 +426,46 @@
                 !excluded.contains(&owner.node) && !in_flight.contains(&owner.node)
             });
         }
-        if let AllowedVersions::Share(version, share) =
-            deployment.allowed_versions(&request.service)
-        {
-            let is_new = |record: &NodeRecord| {
-                record.upstream.as_ref().is_some_and(|upstream| upstream.version == version)
-            };
-            let use_new_version = version_draw < share;
-            let wanted: Vec<_> = owners
-                .iter()
-                .filter(|(_, record)| is_new(record) == use_new_version)
-                .cloned()
-                .collect();
-            // If no upstream of the picked version remains, one of the other version serves.
-            if !wanted.is_empty() {
-                owners = wanted;
-            }
-            if use_new_version {
+        let allowed_versions = deployment.allowed_versions(&request.service);
+        drop(deployment);
+        let AllowedVersions::Share(version, share) = allowed_versions else {
+            return RankedOwners::new(self.sort_owners(owners, now), None);
+        };
+        let is_new = |record: &NodeRecord| {
+            record.upstream.as_ref().is_some_and(|upstream| upstream.version == version)
+        };
+        let (mut new, old): (Vec<_>, Vec<_>) =
+            owners.into_iter().partition(|(_, record)| is_new(record));
+        if version_draw >= share {
+            // The new version is asked only if no owner of the old one is left, and serves what its
+            // leader has granted.
+            let owners = if old.is_empty() { new } else { old };
+            return RankedOwners::new(self.sort_owners(owners, now), None);
+        }
+        let new = match share < 1.0 {
+            true => {
                 // Some versions fail only under load, so the upstreams are filled one after the
                 // other, in the same order at all nodes.
-                owners.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
-                return owners.into_iter().map(|(_, record)| record).collect();
+                new.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
+                new.into_iter().map(|(_, record)| record).collect()
             }
+            false => self.sort_owners(new, now),
+        };
+        let old = self.sort_owners(old, now);
+        if new.is_empty() {
+            RankedOwners::new(old, None)
+        } else {
+            RankedOwners::new(new, Some(old))
         }
-        drop(deployment);
+    }
+
+    /// Sorts owners by their expected cost, the cheapest first.
+    fn sort_owners(
+        &self,
+        owners: Vec<(Candidate, Arc<NodeRecord>)>,
+        now: Instant,
+    ) -> Vec<Arc<NodeRecord>> {
+        let settings = &self.shared.settings.node;
         let mut candidates: Vec<_> =
             owners.iter().map(|(candidate, _)| candidate.clone()).collect();
         sort_by_cost(&mut candidates, &settings.name, &settings.zone, now, &mut rand::rng());
@@ -446,11 +484,13 @@
         conditions: StartConditions,
     ) -> Offer {
         let version = record.upstream.as_ref().map(|upstream| upstream.version.clone());
+        let version = version.unwrap_or_else(|| "".into());
         Offer {
             id: request.id.clone(),
             node: record.node.clone(),
             service: request.service.clone(),
-            version: version.unwrap_or_else(|| "".into()),
+            rolling_out: self.shared.deployment().is_rolling_out(&request.service, &version),
+            version,
             route: request.route.name.clone(),
             retry_safety: request.route.retry_safety,
             is_retry: attempts.is_retry(),
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -5,7 +5,7 @@
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
     config::RetrySafety,
-    exposure::OwnerCounts,
+    exposure::{Grant, OwnerCounts},
     rollout::Evidence,
 };
 use oleandertiller_model::{ErrorKind, NodeName, ServiceName, VersionName};
@@ -32,6 +32,8 @@
     pub service: ServiceName,
     /// Version that the upstream is expected to have.
     pub version: VersionName,
+    /// Whether that version is being rolled out, as far as the ingress knows.
+    pub rolling_out: bool,
     /// Name of the route.
     pub route: Arc<str>,
     /// Whether the request may run more than once.
@@ -63,6 +65,15 @@
     pub class: PriorityClass,
 }
 
+/// Request for the report of an owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ReportRequest {
+    /// What an owner of the new version may start.
+    pub grant: Option<Grant>,
+}
+
 /// What an owner reports to the leader of its service's rollout.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -22,13 +22,13 @@
     rollout::Evidence,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
 };
-use oleandertiller_model::{Clock, ErrorKind, NodeName, ZoneName};
+use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
 use oleandertiller_platform::header::is_nested_id;
 
 use super::{
     deployment_state::DeploymentState,
     http::HttpConn,
-    message::{End, Offer, OwnerReport, Reply},
+    message::{End, Offer, OwnerReport, Reply, ReportRequest},
     metrics::Metrics,
     upstream::Pool,
 };
@@ -116,6 +116,25 @@
     }
 }
 
+/// Takes back a request that was counted as started when it is dropped.
+struct CountedStart<'a, C: Clock> {
+    owner: &'a Owner<C>,
+    version: &'a VersionName,
+}
+
+impl<C: Clock> CountedStart<'_, C> {
+    /// Keeps the request counted.
+    fn confirm(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl<C: Clock> Drop for CountedStart<'_, C> {
+    fn drop(&mut self) {
+        self.owner.lock().exposure.on_not_sent(self.version);
+    }
+}
+
 /// Withdraws a request from the queue when it is dropped.
 struct QueueGuard<'a, C: Clock> {
     owner: &'a Owner<C>,
@@ -268,12 +287,16 @@
         self.lock().queue.full_rate()
     }
 
-    /// Returns the report to the leader of the service's rollout.
-    pub fn report(&self) -> OwnerReport {
-        let inner = self.lock();
+    /// Takes over the grant of the leader of the service's rollout; returns the report to it.
+    pub fn report(&self, request: ReportRequest) -> OwnerReport {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if let Some(grant) = request.grant {
+            inner.exposure.on_grant(grant, now);
+        }
         OwnerReport {
             evidence: inner.evidence.clone(),
-            counts: inner.exposure.counts(),
+            counts: inner.exposure.counts(now),
             running: inner.running.len() as u32,
         }
     }
@@ -316,7 +339,17 @@
         let at_most_once = offer.retry_safety == RetrySafety::AtMostOnce;
         let admission_request =
             AdmissionRequest { rank, deadline, wait_until, allow_slow, class, at_most_once };
-        let admission = self.lock().queue.admit(admission_request, now);
+        let needs_grant = self.deployment().needs_grant(&offer.service, &offer.version);
+        let needs_grant = needs_grant.unwrap_or(offer.rolling_out);
+        let admission = {
+            let mut inner = self.lock();
+            if !inner.exposure.try_start(&offer.version, needs_grant, now) {
+                return not_run(ErrorKind::VersionVetoed);
+            }
+            inner.queue.admit(admission_request, now)
+        };
+        // Given back unless the request starts, also if its client leaves while it waits.
+        let counted = CountedStart { owner: self, version: &offer.version };
         match admission {
             Admission::Run => {}
             Admission::Refuse(why) => return not_run(why),
@@ -326,15 +359,12 @@
                 }
             }
         }
-        {
-            let mut inner = self.lock();
-            inner.exposure.on_start(&offer.version);
-            inner.running.push(RunningRequest {
-                id: offer.id.clone(),
-                is_retry: offer.is_retry,
-                made_calls: false,
-            });
-        }
+        counted.confirm();
+        self.lock().running.push(RunningRequest {
+            id: offer.id.clone(),
+            is_retry: offer.is_retry,
+            made_calls: false,
+        });
         let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
         let started = self.clock.now();
         let end = self.run_on_upstream(offer, deadline).await;
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -12,12 +12,9 @@
 
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
-    exposure::ExposureLedger,
+    exposure::{Demand, ExposureLedger, Grant, RequestRate},
     members::NodeRecord,
-    rollout::{
-        BAD_P_VALUE, BAD_P_VALUE_AT_FULL_SHARE, Evidence, Finding, Phase, RolloutPlan,
-        RolloutProgress, Step, assess, next_step,
-    },
+    rollout::{Assessor, Evidence, Finding, Phase, RolloutPlan, RolloutProgress, Step, next_step},
 };
 use oleandertiller_model::{Clock, NodeName, ServiceName, VersionName, codec};
 use oleandertiller_platform::{
@@ -28,16 +25,13 @@
 use super::{
     daemon::Shared,
     deployment_state::ReceivedOrder,
-    message::{OwnerReport, REPORT_PATH},
+    message::{OwnerReport, REPORT_PATH, ReportRequest},
     store_watcher::{LEADER_PREFIX, PLAN_PREFIX},
 };
 
 /// Interval between two assessments; meanwhile a bad version fails tens of requests per second.
 const ASSESS_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Minimum time over which the rate of answers is measured.
-const MIN_RATE_TIME: Duration = Duration::from_millis(1_100);
-
 /// Timeout of requesting the report of an owner.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -45,6 +39,15 @@
 /// that the nodes try in turn.
 const LEADERSHIP_DELAY: Duration = Duration::from_millis(200);
 
+/// What a leader grants to the owners of the new version.
+#[derive(Clone, Copy, Debug, Default)]
+enum Granting {
+    #[default]
+    Nothing,
+    Within(Demand),
+    Unlimited,
+}
+
 /// Leads rollouts of the local upstream's service.
 pub struct RolloutLeader<C: Clock> {
     shared: Arc<Shared<C>>,
@@ -56,10 +59,12 @@
     old_running: u32,
     /// Revision of the order that the evidence belongs to.
     order_revision: u64,
-    /// Time of the first count of the service's answers, and their number then.
-    first_count: Option<(Instant, u64)>,
-    /// When the new version was first found to get all requests, and the evidence at that time.
-    full_share_start: Option<(Instant, Evidence)>,
+    request_rate: RequestRate,
+    assessor: Assessor,
+    /// What the new version's owners are granted with the next request for their reports.
+    granting: Granting,
+    /// Time until the next assessment.
+    pause: Duration,
     /// When the open order was first found without a leader.
     leaderless_since: Option<Instant>,
 }
@@ -73,8 +78,10 @@
             exposure: ExposureLedger::default(),
             old_running: 0,
             order_revision: 0,
-            first_count: None,
-            full_share_start: None,
+            request_rate: RequestRate::default(),
+            assessor: Assessor::default(),
+            granting: Granting::Nothing,
+            pause: ASSESS_INTERVAL,
             leaderless_since: None,
         }
     }
@@ -82,7 +89,8 @@
     /// Takes over the leadership of rollouts and advances them until the process stops.
     pub async fn run(mut self) {
         loop {
-            self.shared.timers.at(self.shared.clock.now() + ASSESS_INTERVAL).await;
+            self.shared.timers.at(self.shared.clock.now() + self.pause).await;
+            self.pause = ASSESS_INTERVAL;
             if self.shared.is_stopping() {
                 return self.resign().await;
             }
@@ -172,10 +180,11 @@
     async fn advance(&mut self, service: &ServiceName, received: &ReceivedOrder) {
         if self.order_revision != received.revision {
             self.order_revision = received.revision;
-            self.first_count = None;
-            self.full_share_start = None;
             self.evidence.clear();
             self.exposure = ExposureLedger::default();
+            self.request_rate = RequestRate::default();
+            self.assessor = Assessor::default();
+            self.granting = Granting::Nothing;
         }
         let (stored, lost) = {
             let deployment = self.shared.deployment();
@@ -199,41 +208,58 @@
                     share: 0.0,
                     started_ms: self.unix_time_ms(),
                     reason: None,
+                    exposed: 0,
                 };
                 self.write_plan(service, revision, plan).await;
                 return;
             }
         };
+        self.exposure.on_recorded(plan.exposed);
         self.collect_reports(service, received.revision, &plan.version).await;
         let mut all = Evidence::default();
         self.evidence.values().for_each(|evidence| all.merge(evidence));
-        let finding = self.assess(&all, &plan);
+        let now = self.shared.clock.now();
+        let finding = self.assessor.assess(&all, &plan, now);
         let wall_elapsed =
             Duration::from_millis(self.unix_time_ms().saturating_sub(plan.started_ms));
-        let elapsed =
-            self.shared.clock.now().saturating_duration_since(received.at).max(wall_elapsed);
-        let versions = self.shared.deployment().versions(service);
-        let is_serving = versions.contains_key(&plan.version);
+        let elapsed = now.saturating_duration_since(received.at).max(wall_elapsed);
+        let counts = self.exposure.counts();
         let progress = RolloutProgress {
             elapsed,
             time_limit: received.order.within,
-            new_is_serving: is_serving,
-            at_full_share: self.full_share_start.as_ref().map_or(Duration::ZERO, |(since, _)| {
-                self.shared.clock.now().saturating_duration_since(*since)
-            }),
-            answers_per_second: self.answers_per_second(all.answers(None)),
+            new_is_serving: self.shared.deployment().versions(service).contains_key(&plan.version),
+            at_full_share: self.assessor.at_full_share(now),
+            suspect: finding == Finding::Suspect,
+            recent_answers: self.assessor.recent_answers(),
+            requests_per_second: self.request_rate.record(counts.all, now),
             upstream_per_second: self.shared.owner.full_rate(),
-            new_answers: all.answers(Some(&plan.version)),
+            old_running: self.old_running,
+            counts,
+            committed: self.exposure.committed(),
             exposure: self.shared.exposure(),
         };
         let step = next_step(&plan, &finding, &progress);
-        let counts = self.exposure.counts();
         let allowed = progress.exposure.allowed(counts) as u64;
         self.shared.metrics.set_exposure(counts.new, allowed);
         log::info!(service = service.as_str(), version = plan.version.as_str(),
             share = plan.share, passed_ms = elapsed.as_millis() as u64, exposed = counts.new,
             allowed = allowed, all = counts.all, old_running = self.old_running,
             finding:? = finding, step:? = step; "rollout assessed");
+        let share = match step {
+            Step::Share(share) => share,
+            _ => plan.share,
+        };
+        let is_bad = matches!(finding, Finding::Bad(_));
+        self.granting = match progress.requests_per_second {
+            Some(per_second) if !is_bad => {
+                Granting::Within(Demand { share, per_second, room: progress.grantable(share) })
+            }
+            _ => Granting::Nothing,
+        };
+        if !progress.completion_in().is_zero() {
+            self.pause = ASSESS_INTERVAL.min(progress.completion_in());
+        }
+        let plan = RolloutPlan { exposed: counts.new, ..plan };
         let plan = match step {
             Step::Stay => return,
             Step::Share(share) => RolloutPlan { share, ..plan },
@@ -245,23 +271,29 @@
                 ..plan
             },
         };
-        self.write_plan(service, revision, plan).await;
+        let completed = plan.phase == Phase::Completed;
+        if self.write_plan(service, revision, plan).await && completed {
+            // The owners may learn of the completion from the store only later.
+            self.granting = Granting::Unlimited;
+            self.collect_reports(service, received.revision, &received.order.version).await;
+        }
     }
 
     /// Writes the plan and the operators' status report, if this node still leads and the stored
-    /// plan is at `revision`.
-    async fn write_plan(&self, service: &ServiceName, revision: u64, plan: RolloutPlan) {
-        let Some(fence) = self.shared.leadership_revision(service) else { return };
+    /// plan is at `revision`; returns whether they are known to be written.
+    async fn write_plan(&self, service: &ServiceName, revision: u64, plan: RolloutPlan) -> bool {
+        let Some(fence) = self.shared.leadership_revision(service) else { return false };
         let state = match plan.phase {
             Phase::Running => RolloutState::Running,
             Phase::Completed => RolloutState::Completed,
             Phase::RolledBack => RolloutState::RolledBack,
         };
+        let status = write_status(state, &plan.version);
         let value = match serde_json::to_vec(&plan) {
             Ok(value) => value,
             Err(error) => {
                 log::error!(error:% = error; "rollout plan could not be encoded as JSON");
-                return;
+                return false;
             }
         };
         let plan_key = format!("{PLAN_PREFIX}{service}");
@@ -271,18 +303,41 @@
                 (format!("{LEADER_PREFIX}{service}"), fence),
                 (plan_key.clone(), revision),
             ],
-            writes: vec![(plan_key, value, 0), (status_key, write_status(state, &plan.version), 0)],
+            // The revision in the answer is that of the last write.
+            writes: vec![(status_key, status, 0), (plan_key.clone(), value, 0)],
             removals: Vec::new(),
         };
         match self.shared.store.call(&Call::Write(transaction)).await {
-            Ok(Answer::Written { .. }) => {}
+            Ok(Answer::Written { revision }) => {
+                // The watch may take longer than an assessment.
+                let mut deployment = self.shared.deployment();
+                deployment.lost_plans.remove(service);
+                deployment.plans.insert(service.clone(), (revision, plan));
+                true
+            }
+            Ok(Answer::Conflict(items)) => {
+                log::warn!(service = service.as_str(), revision = revision;
+                    "rollout plan not written: it has been written meanwhile");
+                let stored = items.iter().find(|item| item.key == plan_key);
+                if let Some(item) = stored
+                    && let Ok(plan) = serde_json::from_slice(&item.value)
+                {
+                    let plans = &mut self.shared.deployment().plans;
+                    plans.insert(service.clone(), (item.revision, plan));
+                }
+                false
+            }
             // Whether it was applied is learned from the watch.
-            other => log::warn!(service = service.as_str(), answer:? = other;
-                "rollout plan not written"),
+            other => {
+                log::warn!(service = service.as_str(), answer:? = other;
+                    "rollout plan not written");
+                false
+            }
         }
     }
 
-    /// Collects the reports of all owners of the service on an order for `version`.
+    /// Collects the reports of all owners of the service on an order for `version`, and sends the
+    /// new version's owners their grants.
     async fn collect_reports(
         &mut self,
         service: &ServiceName,
@@ -300,13 +355,33 @@
             });
             members.map(|member| member.record.clone()).collect()
         };
+        let is_new = |record: &NodeRecord| {
+            record.upstream.as_ref().is_some_and(|upstream| upstream.version == *version)
+        };
+        let new = owners.iter().filter(|record| is_new(record));
+        let mut new: Vec<_> = new.map(|record| (record.node.clone(), record.incarnation)).collect();
+        new.sort();
+        let totals = match std::mem::take(&mut self.granting) {
+            Granting::Nothing => Vec::new(),
+            Granting::Within(demand) => self.exposure.grant(&new, demand, now),
+            Granting::Unlimited => vec![Some(Grant::UNLIMITED); new.len()],
+        };
+        let fence = shared.leadership_revision(service).unwrap_or(0);
+        let grant = |up_to| Grant { order_revision, fence, up_to };
+        let grants: BTreeMap<NodeName, Grant> = new
+            .into_iter()
+            .zip(totals)
+            .filter_map(|((node, _), up_to)| Some((node, grant(up_to?))))
+            .collect();
         let until = now + REPORT_TIMEOUT;
-        let shared = &shared;
+        let (shared, grants) = (&shared, &grants);
         let requests = owners.iter().map(|record| async move {
+            let request = ReportRequest { grant: grants.get(&record.node).cloned() };
             if record.node == *own_name {
-                return Some((record, shared.owner.report()));
+                return Some((record, shared.owner.report(request)));
             }
-            let request = shared.client.request(record.inner, REPORT_PATH, Vec::new(), until);
+            let request = codec::encode(&request);
+            let request = shared.client.request(record.inner, REPORT_PATH, request, until);
             let bytes = request.await.ok()?;
             Some((record, codec::decode::<OwnerReport>(&bytes).ok()?))
         });
@@ -316,42 +391,18 @@
             log::info!(service = service.as_str(), missing = missing;
                 "reports of some owners are missing");
         }
+        self.exposure.begin_round();
         self.old_running = 0;
         for (record, report) in answers.into_iter().flatten() {
             let owner = (record.node.clone(), record.incarnation);
             self.exposure.on_counts(owner.clone(), &report.counts, order_revision, version);
             self.evidence.insert(owner, report.evidence);
-            if record.upstream.as_ref().is_some_and(|upstream| upstream.version != *version) {
+            if !is_new(record) {
                 self.old_running += report.running;
             }
         }
     }
 
-    /// Assesses all evidence and, once the version gets all requests, also the evidence since then.
-    fn assess(&mut self, all: &Evidence, plan: &RolloutPlan) -> Finding {
-        if plan.share < 1.0 {
-            self.full_share_start = None;
-            return assess(all, &plan.version, BAD_P_VALUE);
-        }
-        let now = self.shared.clock.now();
-        let (_, before) = self.full_share_start.get_or_insert_with(|| (now, all.clone()));
-        let window = all.since(before, &plan.version);
-        match assess(&window, &plan.version, BAD_P_VALUE_AT_FULL_SHARE) {
-            bad @ Finding::Bad(_) => bad,
-            _ => assess(all, &plan.version, BAD_P_VALUE),
-        }
-    }
-
-    /// Returns the service's answers per second since the first count, once [`MIN_RATE_TIME`] has
-    /// passed.
-    fn answers_per_second(&mut self, answers: u64) -> Option<f64> {
-        let now = self.shared.clock.now();
-        let (since, before) = *self.first_count.get_or_insert((now, answers));
-        let time = now.saturating_duration_since(since);
-        let counted = answers.saturating_sub(before) as f64;
-        (time >= MIN_RATE_TIME).then(|| counted / time.as_secs_f64())
-    }
-
     fn unix_time_ms(&self) -> u64 {
         let since = self.shared.clock.wall().duration_since(UNIX_EPOCH);
         since.unwrap_or_default().as_millis() as u64
