--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`admission_queue`]: when an owner runs a request, queues it or refuses it.
 //! - [`change_feed`]: from where a node gets the store's changes.
 //! - [`config`]: the operators' configuration and the route of a request.
+//! - [`crash_suspects`]: which requests crash the upstreams that run them.
 //! - [`exposure`]: how many requests a version gets while it is rolled out.
 //! - [`latency_estimate`]: how long answers take, and when a request is hedged.
 //! - [`lease`]: how long a node's record lives without a renewal.
@@ -20,6 +21,7 @@
 pub mod admission_queue;
 pub mod change_feed;
 pub mod config;
+pub mod crash_suspects;
 pub mod exposure;
 pub mod latency_estimate;
 pub mod lease;
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -5,10 +5,12 @@
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
     config::RetrySafety,
+    crash_suspects::Fingerprint,
     exposure::{Grant, OwnerCounts},
     rollout::Evidence,
 };
 use oleandertiller_model::{ErrorKind, NodeName, ServiceName, VersionName};
+use oleandertiller_platform::header;
 use serde::{Deserialize, Serialize};
 
 use super::{http::Headers, metrics::Decision};
@@ -87,6 +89,14 @@
     pub running: u32,
 }
 
+impl Offer {
+    /// Returns the fingerprint that a repeated request has as well.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let caller = self.headers.get(header::CALLER_SERVICE).unwrap_or("");
+        Fingerprint::new(&self.service, caller, &self.method, &self.target, &self.body)
+    }
+}
+
 /// An upstream's complete HTTP response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -57,6 +57,9 @@
 pub enum Decision {
     /// An owner passed the request to its upstream; the reason is the outcome.
     Run,
+    /// An owner lost the connection of a running request; the reason tells whether the upstream has
+    /// ended.
+    LostRun,
     /// An owner refused an offer without running the request.
     RefuseOffer,
     /// An ingress queued the request at an owner.
@@ -73,6 +76,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Run => "run",
+            Self::LostRun => "lost-run",
             Self::RefuseOffer => "hand-back",
             Self::Wait => "wait",
             Self::Hedge => "hedge",
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -7,7 +7,7 @@
 
 use oleandertiller_mesh::{
     rollout::{BAD_P_VALUE, Finding, assess},
-    upstream::{Announcement, Incarnation},
+    upstream::{Announcement, Incarnation, Stage},
 };
 use oleandertiller_model::{Clock, ErrorKind};
 use oleandertiller_platform::header;
@@ -17,13 +17,17 @@
     deployment_state::time_left,
     http::{HttpConn, encode_request},
     message::{End, Offer, Response},
-    metrics::Dependency,
+    metrics::{Decision, Dependency},
     upstream::{Exchange, ExchangeError, PooledConn, exchange},
 };
 
 /// Status with which an upstream responds once a request's deadline has passed.
 const STATUS_GATEWAY_TIMEOUT: u16 = 504;
 
+/// Timeout of the connection that shows whether the upstream has ended. An address without a listener
+/// refuses it at once.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Timeout for connecting to the upstream, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -57,6 +61,11 @@
             Some(Ok(_)) => "answered",
         };
         self.metrics.record_call(Dependency::Upstream, "request", call_outcome, service_time);
+        if let Some(Err(error)) = &result
+            && error.why == ErrorKind::ConnectionLost
+        {
+            self.on_connection_lost(offer, &announcement).await;
+        }
         let end = match result {
             None => End::Unknown(ErrorKind::UpstreamTimeout),
             Some(Err(ExchangeError { why, .. })) => End::Unknown(why),
@@ -74,6 +83,30 @@
         end
     }
 
+    /// Reports a request whose connection was lost because the upstream has ended.
+    async fn on_connection_lost(&self, offer: &Offer, announcement: &Announcement) {
+        let request = offer.fingerprint().to_string();
+        let ended = self.has_ended(announcement).await;
+        let loss = if ended { "upstream-ended" } else { "connection-only" };
+        self.metrics.count_decision(Decision::LostRun, loss);
+        log::info!(id = &*offer.id, request = &*request, ended = ended,
+            upstream = &*announcement.incarnation.id; "connection lost while a request ran");
+    }
+
+    /// Returns whether an upstream has ended by itself: it refuses connections and has not announced
+    /// that it leaves.
+    async fn has_ended(&self, announcement: &Announcement) -> bool {
+        let until = self.clock.now() + END_CHECK_TIMEOUT;
+        let connected = self.timers.within(until, HttpConn::connect(announcement.address)).await;
+        // An upstream that is cut off does not answer at all.
+        let refused = matches!(connected, Some(Err(_)));
+        let inner = self.lock();
+        let latest = inner.upstream.latest();
+        let replaced = latest.is_some_and(|l| l.incarnation != announcement.incarnation);
+        let serving = latest.is_some_and(|l| l.stage == Stage::Serving);
+        (refused || replaced) && serving
+    }
+
     async fn take_or_connect(&self, address: SocketAddr, deadline: Instant) -> Option<PooledConn> {
         let now = self.clock.now();
         if let Some(pooled) = self.pool.take(address, now) {
