Refuse a request that was running when three upstreams ended, and tell all owners of the service

Cause: no node kept what a request had done. The ingress retried it at the next upstream, and clients sent it again as a new request, so each of them was the first one for everybody. Class of fault: a failure is handled per attempt where its cause is the request.

An owner now records which requests were running when its upstream ended, by a fingerprint of service, caller, method, target and body, and sends this to all owners of the service at once, without the store; those that did not answer or have restarted get it again, and owners exchange what they know with a random other one, so that it survives the node that saw it. A request at two ends is not retried, one at three is refused at once with 503 and Retry-After. A request that is completed anywhere is acquitted; otherwise one owner may run it again after 8 s, then after pauses that grow eightfold up to 10 minutes, so that an innocent one that ran beside it is back soon. The table holds 512 requests and forgets them after two minutes. An upstream that has announced that it leaves, or that does not answer at all, counts as no end.

Evidence: request_that_ends_upstreams_reaches_few_of_them failed before (an innocent request was no longer served; all upstreams had ended); it covers a silent store and a restart of the node that saw it.

--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -83,7 +83,10 @@
             ErrorKind::VersionVetoed => Some(Self::Rollout),
             ErrorKind::Cold => Some(Self::ColdStart),
             ErrorKind::Overloaded | ErrorKind::NoUpstream => Some(Self::Overload),
-            ErrorKind::MismatchedAnswer | ErrorKind::TruncatedAnswer => Some(Self::UpstreamFailure),
+            ErrorKind::MismatchedAnswer
+            | ErrorKind::TruncatedAnswer
+            | ErrorKind::CrashSuspect
+            | ErrorKind::CrashesUpstreams => Some(Self::UpstreamFailure),
             ErrorKind::ConnectFailed | ErrorKind::ConnectionLost | ErrorKind::PeerProtocol => {
                 Some(Self::Connection)
             }
--- a/crates/language/src/advice.rs
+++ b/crates/language/src/advice.rs
@@ -38,6 +38,12 @@
         ErrorKind::VersionVetoed => {
             "Send the request again. `explain rollout SERVICE` says why the version takes no traffic."
         }
+        ErrorKind::CrashSuspect => {
+            "Send the request again; another owner takes it. If it lasts, see `crashes-upstreams`."
+        }
+        ErrorKind::CrashesUpstreams => {
+            "Do not send the request again. The log lines `connection lost while a request ran` name the upstreams that ended while they ran it; look there for the cause. If it is not this request, it is run again within seconds."
+        }
         ErrorKind::StaleIntent => {
             "Send the request again. If it lasts at one node, that node reaches neither its peers nor the store."
         }
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -19,7 +19,7 @@
 }
 
 /// One process start of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Incarnation {
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod admission_queue;
 mod change_feed;
 mod config;
+mod crash_suspects;
 mod exposure;
 mod exposure_counts;
 mod lease;
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -110,6 +110,10 @@
     ZoneOut => "zone-out", 503, true, true, "The availability zone is out of service.";
     /// The version is vetoed or over its share of traffic.
     VersionVetoed => "version-vetoed", 503, true, true, "The upstream's version takes no traffic now.";
+    /// The request was running when upstreams ended, and another owner may run it, or not as a retry.
+    CrashSuspect => "crash-suspect", 503, true, true, "The request was running when upstreams ended and may not be run here now.";
+    /// Upstreams ended while they ran the request, and it was not completed since.
+    CrashesUpstreams => "crashes-upstreams", 503, true, false, "Upstreams ended while they ran the request.";
     /// The node does not know whether its intent is current.
     StaleIntent => "stale-intent", 503, true, true, "The node's configuration is not known to be current.";
     /// No owner takes the request.
--- a/crates/standin/src/http/server.rs
+++ b/crates/standin/src/http/server.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Closes a [`Server`] from one of its handlers.
+#[derive(Clone, Debug)]
+pub struct StopHandle(Sender<()>);
+
+impl StopHandle {
+    /// Closes the listener and all connections immediately.
+    pub fn close(self) {
+        self.0.close();
+    }
+}
+
 /// A running HTTP server.
 pub struct Server {
     addr: SocketAddr,
@@ -83,6 +94,11 @@
         self.addr
     }
 
+    /// Returns a handle that closes the server.
+    pub fn stop_handle(&self) -> StopHandle {
+        StopHandle(self.stop.clone())
+    }
+
     /// Closes the listener and all connections immediately.
     pub async fn close(self) {
         self.stop.close();
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -6,7 +6,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -15,7 +15,7 @@
 use async_std::task;
 use tide::http::{Response, StatusCode};
 
-use crate::http::{Call, Handler, Server, text};
+use crate::http::{Call, Handler, Server, StopHandle, text};
 
 /// How the upstream handles requests.
 #[derive(Clone, Debug)]
@@ -36,6 +36,8 @@
     pub request_limit: Option<f64>,
     /// Whether it says in all responses that it is leaving.
     pub leaving: bool,
+    /// Path and query of the requests on which it ends.
+    pub ends_on: Option<String>,
 }
 
 impl Default for MeshUpstreamBehaviour {
@@ -50,6 +52,7 @@
             slowness: 100,
             request_limit: None,
             leaving: false,
+            ends_on: None,
         }
     }
 }
@@ -71,9 +74,13 @@
     pub started: Instant,
     /// Whether the work was completed.
     pub finished: bool,
+    /// Whether the upstream has ended on it.
+    pub ended: bool,
 }
 
 struct Shared {
+    /// Set once the server has started.
+    stop: OnceLock<StopHandle>,
     id: String,
     slots: usize,
     behaviour: Mutex<MeshUpstreamBehaviour>,
@@ -94,17 +101,49 @@
     ///
     /// Returns the error if the address cannot be bound.
     pub async fn start(addr: SocketAddr, id: &str, slots: usize) -> io::Result<Self> {
+        Self::start_with(addr, id, slots, MeshUpstreamBehaviour::default(), Vec::new()).await
+    }
+
+    async fn start_with(
+        addr: SocketAddr,
+        id: &str,
+        slots: usize,
+        behaviour: MeshUpstreamBehaviour,
+        runs: Vec<Run>,
+    ) -> io::Result<Self> {
         let shared = Arc::new(Shared {
+            stop: OnceLock::new(),
             id: id.to_owned(),
             slots,
-            behaviour: Mutex::default(),
-            runs: Mutex::default(),
+            behaviour: Mutex::new(behaviour),
+            runs: Mutex::new(runs),
             running: AtomicUsize::new(0),
         });
         let server = Server::start(addr, Arc::new(RequestHandler(shared.clone()))).await?;
+        // It is empty before.
+        let _ = shared.stop.set(server.stop_handle());
         Ok(Self { shared, server })
     }
 
+    /// Returns whether it has ended on a request.
+    pub fn has_ended(&self) -> bool {
+        lock(&self.shared.runs).last().is_some_and(|run| run.ended)
+    }
+
+    /// Starts it again under another id, with the same address and behaviour.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error if the address cannot be bound.
+    pub async fn restart(&mut self, id: &str) -> io::Result<()> {
+        let mut runs = self.runs();
+        runs.iter_mut().for_each(|run| run.ended = false);
+        let behaviour = lock(&self.shared.behaviour).clone();
+        let slots = self.shared.slots;
+        *self = Self::start_with(self.addr(), id, slots, behaviour, runs).await?;
+        Ok(())
+    }
+
     /// Returns the bound address.
     pub fn addr(&self) -> SocketAddr {
         self.server.addr()
@@ -173,6 +212,12 @@
         self.0.running.fetch_add(1, Ordering::Relaxed);
         let _running = RunningGuard(&self.0.running);
         task::sleep(behaviour.service_time).await;
+        let ends = behaviour.ends_on.as_ref() == Some(&lock(&self.0.runs)[index].target);
+        if ends && let Some(stop) = self.0.stop.get() {
+            lock(&self.0.runs)[index].ended = true;
+            stop.clone().close();
+            return None;
+        }
         if behaviour.hangs {
             pending::<()>().await;
         }
@@ -202,6 +247,7 @@
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
             started: Instant::now(),
             finished: false,
+            ended: false,
         };
         let mut runs = lock(&self.0.runs);
         runs.push(run);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -8,6 +8,7 @@
 
 pub mod change_feed;
 pub mod control;
+pub mod crash_reporter;
 pub mod daemon;
 pub mod deployment_state;
 pub mod flag;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -25,10 +25,11 @@
 use super::{
     change_feed::{CHANGES_PATH, ChangeFeed, ChangeRequest},
     control::ControlServer,
+    crash_reporter::CrashReporter,
     deployment_state::DeploymentState,
     flag::Flag,
     ingress::Ingress,
-    message::{OFFER_PATH, Offer, REPORT_PATH, ReportRequest},
+    message::{CRASHES_PATH, CrashReport, OFFER_PATH, Offer, REPORT_PATH, ReportRequest},
     metrics::Metrics,
     owner::{Owner, OwnerConfig},
     registration::Registration,
@@ -279,6 +280,10 @@
                 let request: ReportRequest = codec::decode(&body).ok()?;
                 Some(codec::encode(&self.0.owner.report(request)))
             }
+            CRASHES_PATH => {
+                let report: CrashReport = codec::decode(&body).ok()?;
+                self.0.owner.on_crash_report(&report).map(|known| codec::encode(&known))
+            }
             _ => None,
         }
     }
@@ -319,6 +324,7 @@
         task::spawn(Arc::new(Ingress::new(shared.clone())).serve(ingress, stop.clone()));
         task::spawn(StoreWatcher::new(shared.clone()).run());
         task::spawn(RolloutLeader::new(shared.clone()).run());
+        task::spawn(CrashReporter::new(shared.clone()).run());
         let registration = task::spawn(Registration::new(shared.clone()).run(record_changed));
         task::spawn(expire(shared.clone()));
         Ok(Self { shared, stop_ports, stop_registration: record_changed_tx, registration })
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -15,6 +15,7 @@
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
+    crash_suspects,
     members::NodeRecord,
     placement::{Candidate, shortest_wait, sort_by_cost},
     rollout::AllowedVersions,
@@ -339,6 +340,10 @@
                     why = kind;
                     match kind {
                         ErrorKind::Overloaded | ErrorKind::Cold => states.push((record, state)),
+                        ErrorKind::CrashesUpstreams => {
+                            attempts.lock().expected_wait = Some(crash_suspects::MIN_PAUSE);
+                            return RoundOutcome::Refused(Vec::new(), kind);
+                        }
                         // The other owners of the version are likely to refuse as well.
                         ErrorKind::VersionVetoed => {
                             if let Some(owners) = fallback.take() {
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -5,7 +5,7 @@
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
     config::RetrySafety,
-    crash_suspects::Fingerprint,
+    crash_suspects::{Fingerprint, SuspectRecord},
     exposure::{Grant, OwnerCounts},
     rollout::Evidence,
 };
@@ -21,6 +21,20 @@
 /// Path of the `h2` requests with which a rollout's leader gets the report of an owner.
 pub const REPORT_PATH: &str = "/mesh/rollout-report";
 
+/// Path of the `h2` requests with which owners tell each other which requests crash upstreams.
+pub const CRASHES_PATH: &str = "/mesh/crashes";
+
+/// What an owner knows of requests that crash upstreams; answered with the same of the other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CrashReport {
+    /// Service of the upstreams.
+    pub service: ServiceName,
+    /// The requests.
+    pub suspects: Vec<SuspectRecord>,
+}
+
 /// A client's request, offered to an owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -14,10 +14,12 @@
 };
 
 use async_channel::Sender;
+use event_listener::Event;
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, Dequeued, OwnerState, Ticket},
     config::RetrySafety,
+    crash_suspects::{CrashSuspects, Fingerprint, Verdict, chosen_owner},
     exposure::OwnerExposure,
     rollout::Evidence,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
@@ -28,7 +30,7 @@
 use super::{
     deployment_state::DeploymentState,
     http::HttpConn,
-    message::{End, Offer, OwnerReport, Reply, ReportRequest},
+    message::{CrashReport, End, Offer, OwnerReport, Reply, ReportRequest},
     metrics::Metrics,
     upstream::Pool,
 };
@@ -51,11 +53,14 @@
     running: Vec<RunningRequest>,
     vetoed: bool,
     exposure: OwnerExposure,
+    suspects: CrashSuspects,
 }
 
 /// A request that the upstream is running.
 struct RunningRequest {
     id: Arc<str>,
+    /// Its fingerprint, if it was a suspect when it started.
+    suspect: Option<Fingerprint>,
     /// Whether another upstream may have run it already.
     is_retry: bool,
     /// Whether the upstream has made calls for it.
@@ -94,6 +99,8 @@
     pool: Pool,
     /// Triggers a write of the node's record after a change of the upstream's stage.
     record_changed: Sender<()>,
+    /// Notified when the other owners have to learn of a crash.
+    pub crash_seen: Event,
     health_conn: async_std::sync::Mutex<Option<HttpConn>>,
 }
 
@@ -172,6 +179,7 @@
             running: Vec::new(),
             vetoed: false,
             exposure: OwnerExposure::default(),
+            suspects: CrashSuspects::default(),
         };
         let health_conn = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
@@ -184,6 +192,7 @@
             inner: Mutex::new(inner),
             pool,
             record_changed,
+            crash_seen: Event::new(),
             health_conn,
         }
     }
@@ -332,6 +341,11 @@
         if offer.node != self.cfg.node || !self.lock().upstream.latest().is_some_and(is_expected) {
             return not_run(ErrorKind::NoUpstream);
         }
+        let suspect = match self.crash_verdict(offer) {
+            (Verdict::Run, suspect) => suspect,
+            (Verdict::NotHere, _) => return not_run(ErrorKind::CrashSuspect),
+            (Verdict::Refuse, _) => return not_run(ErrorKind::CrashesUpstreams),
+        };
         self.refresh_load().await;
         let now = self.clock.now();
         let wait_until = (now + offer.max_wait.min(MAX_REMAINING)).min(deadline);
@@ -357,11 +371,21 @@
                 if let Err(why) = self.wait_for_slot(ticket, wait_until).await {
                     return not_run(why);
                 }
+                // The others may have reported crashes meanwhile.
+                match self.crash_verdict(offer).0 {
+                    Verdict::Run => {}
+                    Verdict::NotHere | Verdict::Refuse => {
+                        self.lock().queue.release(None);
+                        self.notify_waiters();
+                        return not_run(ErrorKind::CrashSuspect);
+                    }
+                }
             }
         }
         counted.confirm();
         self.lock().running.push(RunningRequest {
             id: offer.id.clone(),
+            suspect,
             is_retry: offer.is_retry,
             made_calls: false,
         });
@@ -374,6 +398,44 @@
         end
     }
 
+    /// Returns whether a request may run although it may have crashed upstreams, and its fingerprint
+    /// if it is a suspect.
+    fn crash_verdict(&self, offer: &Offer) -> (Verdict, Option<Fingerprint>) {
+        if self.lock().suspects.is_empty() {
+            return (Verdict::Run, None);
+        }
+        let request = offer.fingerprint();
+        if !self.lock().suspects.contains(request) {
+            return (Verdict::Run, None);
+        }
+        let now = self.clock.now();
+        let is_chosen = {
+            let owners = self.deployment().owners(&offer.service, now);
+            let names = owners.iter().map(|(candidate, _)| &candidate.node);
+            chosen_owner(request, names) == Some(&self.cfg.node)
+        };
+        let inner = self.lock();
+        let is_running = inner.running.iter().any(|run| run.suspect == Some(request));
+        let may_run_suspect = || is_chosen && !is_running;
+        (inner.suspects.verdict(request, offer.is_retry, may_run_suspect, now), Some(request))
+    }
+
+    /// Returns what this owner knows of requests that crash upstreams of its service.
+    pub fn crash_report(&self) -> Option<CrashReport> {
+        let inner = self.lock();
+        let service = inner.upstream.latest()?.service.clone();
+        Some(CrashReport { service, suspects: inner.suspects.records(self.clock.now()) })
+    }
+
+    /// Takes over what another owner knows; returns what this one knew, or `None` without an upstream.
+    pub fn on_crash_report(&self, report: &CrashReport) -> Option<CrashReport> {
+        let own = self.crash_report()?;
+        if own.service == report.service {
+            self.lock().suspects.merge(&report.suspects, self.clock.now());
+        }
+        Some(own)
+    }
+
     /// Waits for the decision on a queued request, and keeps the load figures current meanwhile.
     async fn wait_for_slot(&self, ticket: Ticket, until: Instant) -> Result<(), ErrorKind> {
         let (tx, rx) = async_channel::bounded(1);
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -6,6 +6,7 @@
 };
 
 use oleandertiller_mesh::{
+    crash_suspects::CrashId,
     rollout::{BAD_P_VALUE, Finding, assess},
     upstream::{Announcement, Incarnation, Stage},
 };
@@ -71,6 +72,9 @@
             Some(Err(ExchangeError { why, .. })) => End::Unknown(why),
             Some(Ok(exchange)) => self.classify_response(exchange, &announcement, now),
         };
+        if let End::Answered(_) = end {
+            self.on_completed(offer);
+        }
         self.record_outcome(
             offer,
             &announcement,
@@ -83,14 +87,34 @@
         end
     }
 
-    /// Reports a request whose connection was lost because the upstream has ended.
+    /// Records a request whose connection was lost if that is because the upstream has ended.
     async fn on_connection_lost(&self, offer: &Offer, announcement: &Announcement) {
-        let request = offer.fingerprint().to_string();
+        let request = offer.fingerprint();
         let ended = self.has_ended(announcement).await;
         let loss = if ended { "upstream-ended" } else { "connection-only" };
         self.metrics.count_decision(Decision::LostRun, loss);
-        log::info!(id = &*offer.id, request = &*request, ended = ended,
-            upstream = &*announcement.incarnation.id; "connection lost while a request ran");
+        let mut crashes = 0;
+        if ended {
+            let crash = CrashId::new(&announcement.incarnation);
+            crashes = self.lock().suspects.on_crash(request, crash, self.clock.now());
+            self.crash_seen.notify(usize::MAX);
+        }
+        log::info!(id = &*offer.id, request = &*request.to_string(), ended = ended,
+            crashes = crashes, upstream = &*announcement.incarnation.id;
+            "connection lost while a request ran");
+    }
+
+    /// Acquits a request that the upstream has completed.
+    fn on_completed(&self, offer: &Offer) {
+        if self.lock().suspects.is_empty() {
+            return;
+        }
+        let request = offer.fingerprint();
+        if self.lock().suspects.on_completed(request, self.clock.now()) {
+            log::info!(id = &*offer.id, request = &*request.to_string();
+                "request completed that was running when upstreams ended");
+            self.crash_seen.notify(usize::MAX);
+        }
     }
 
     /// Returns whether an upstream has ended by itself: it refuses connections and has not announced
