Bound the times that an upstream names before they are added to the clock

Cause: both are valid durations, but Instant panics when a sum overflows. They are now limited to an hour, like the deadlines of requests before.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -17,6 +17,10 @@
 
 use crate::{request_limit::RequestLimit, token_bucket::TokenBucket};
 
+/// Longest time for which an upstream counts as cold from one announcement: adding a longer one to the
+/// clock could overflow.
+const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
+
 /// Largest burst of a cold upstream, at its start and after a pause: the requests that its rate
 /// allows in this many seconds. With it, no second has more than 1.5 times the rate, which users
 /// allow.
@@ -233,7 +237,7 @@
             self.cold = None;
             return;
         };
-        let until = now + cold_for;
+        let until = now + cold_for.min(MAX_COLD_TIME);
         let burst = (per_second * COLD_BURST_SECONDS).max(1.0);
         match &mut self.cold {
             Some(cold) => {
--- a/crates/mesh/tests/mesh/admission_queue.rs
+++ b/crates/mesh/tests/mesh/admission_queue.rs
@@ -309,3 +309,12 @@
     assert_eq!(queue.admit(request(now, 0), now), Admission::Refuse(ErrorKind::Cold));
     assert!(queue.state(PriorityClass::Timely, 1, now).is_rate_bound());
 }
+
+/// Guards against an owner that ends because its upstream says that it stays cold for ages.
+#[test]
+fn cold_time_without_end_is_accepted() {
+    let now = Instant::now();
+    let mut queue = queue(6);
+    queue.set_cold_limit(Duration::MAX, Some(5.0), now);
+    assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
+}
--- a/crates/standin/src/platform/kv_store.rs
+++ b/crates/standin/src/platform/kv_store.rs
@@ -110,8 +110,13 @@
 
     /// Writes a key directly, as an operator would; returns its new revision.
     pub fn put(&self, key: &str, value: &Value) -> u64 {
+        self.put_bytes(key, value.to_string().as_bytes())
+    }
+
+    /// Writes any bytes directly, as another writer may; returns the revision.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) -> u64 {
         let mut state = self.shared.lock();
-        state.write(key, value.to_string().into_bytes(), 0);
+        state.write(key, value.to_vec(), 0);
         let revision = state.revision;
         drop(state);
         self.shared.changed.notify(usize::MAX);
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -18,6 +18,9 @@
     message::Response,
 };
 
+/// Longest idle time that is taken from an upstream: adding a longer one to the clock could overflow.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Idle time after which a connection is not reused if the upstream states no keep-alive timeout.
 /// Servers commonly close after 5 s.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -144,7 +147,9 @@
         let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
         timeout.trim().parse().ok().map(Duration::from_secs)
     });
-    timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.saturating_sub(IDLE_TIMEOUT_MARGIN))
+    timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
+        timeout.min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_TIMEOUT_MARGIN)
+    })
 }
 
 async fn read_response_to(
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -3,7 +3,9 @@
 mod deadly_requests;
 mod fleet;
 mod http;
+mod odd_entries;
 mod processes;
 mod soak;
 mod store_restore;
 mod upstream_conditions;
+mod upstream_responses;
--- /dev/null
+++ b/tests/mesh/upstream_responses.rs
@@ -0,0 +1,52 @@
+//! Responses of faulty upstreams.
+
+use std::time::Duration;
+
+use async_std::{
+    io::WriteExt,
+    net::{TcpListener, TcpStream},
+    task::{self, block_on},
+};
+use futures_util::AsyncReadExt;
+use oleandertiller::mesh::{
+    http::{Headers, HttpConn, encode_request},
+    upstream::{Exchange, ExchangeError, exchange},
+};
+
+/// Opens a connection whose peer answers the first requests with `responses`, one each, and then
+/// closes it.
+async fn connect_to(responses: Vec<Vec<u8>>) -> HttpConn {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let (mut stream, _): (TcpStream, _) = listener.accept().await.unwrap();
+        for response in responses {
+            let mut request = [0; 4_096];
+            if stream.read(&mut request).await.unwrap_or(0) == 0 {
+                return;
+            }
+            stream.write_all(&response).await.unwrap();
+        }
+    });
+    HttpConn::connect(address).await.unwrap()
+}
+
+async fn request(conn: HttpConn, id: &str) -> Result<Exchange, ExchangeError> {
+    let mut headers = Headers::default();
+    headers.set("Host", "x");
+    exchange(conn, &encode_request("GET", "/", &headers, &[]), id, 1 << 20).await
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nOleandertiller-Attempt-Id: a\r\n\
+                    Oleandertiller-Response-Signature: s\r\n";
+
+/// Guards against a time from a faulty upstream that is too large for the clock.
+#[test]
+fn idle_time_without_end_is_bounded() {
+    block_on(async {
+        let head = format!("{HEAD}Keep-Alive: timeout={}\r\nContent-Length: 0\r\n\r\n", u64::MAX);
+        let conn = connect_to(vec![head.into_bytes(), Vec::new()]).await;
+        let (_, idle) = request(conn, "a").await.unwrap().conn.unwrap();
+        assert!(idle <= Duration::from_secs(24 * 3_600), "{idle:?}");
+    });
+}
