Show that a response that stops in its head or body is not passed on

It cannot happen here: a response cut at any byte is an error, with a length, in chunks, or in the head of one that ends with its connection.

--- a/tests/mesh/upstream_responses.rs
+++ b/tests/mesh/upstream_responses.rs
@@ -50,3 +50,23 @@
         assert!(idle <= Duration::from_secs(24 * 3_600), "{idle:?}");
     });
 }
+/// Guards against a response that is passed on as complete although the upstream stopped in the middle
+/// of it, whatever its framing.
+#[test]
+fn response_cut_short_is_not_complete() {
+    block_on(async {
+        let length = format!("{HEAD}Content-Length: 5\r\n\r\nhello");
+        let chunked = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        let until_close = format!("{HEAD}Connection: close\r\n\r\nhello");
+        for (whole, first_undetectable) in
+            [(&length, usize::MAX), (&chunked, usize::MAX), (&until_close, until_close.len() - 5)]
+        {
+            for cut in 0..whole.len().min(first_undetectable) {
+                let conn = connect_to(vec![whole.as_bytes()[..cut].to_vec()]).await;
+                assert!(request(conn, "a").await.is_err(), "{:?}", &whole[..cut]);
+            }
+            let conn = connect_to(vec![whole.clone().into_bytes()]).await;
+            assert_eq!(request(conn, "a").await.unwrap().response.body, b"hello");
+        }
+    });
+}
