Skip refusals without an id on a connection that was used before

Refusals that carry the id of another request were skipped already, but one without an id was taken for the request in progress, also on a connection from the pool, so that the request was reported as not run and could run again elsewhere. repeated_refusal_of_an_earlier_request_is_skipped failed before. On a new connection nothing came before, so that a refusal without an id still counts there.

--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -52,7 +52,8 @@
         headers.set(header::DEADLINE, remaining.as_millis().max(1).to_string());
         headers.set(header::EXPECTED_UPSTREAM, &*announcement.incarnation.id);
         let request = encode_request(&offer.method, &offer.target, &headers, &offer.body);
-        let work = exchange(pooled.conn, &request, &offer.id, self.cfg.max_response_body_bytes);
+        let reused = pooled.reused;
+        let work = exchange(pooled, &request, &offer.id, self.cfg.max_response_body_bytes);
         let result = self.timers.within(deadline, work).await;
         let now = self.clock.now();
         let service_time = now.saturating_duration_since(started);
@@ -81,7 +82,7 @@
             &end,
             service_time.mul_f64(100.0 / f64::from(slowness.max(100))),
         );
-        log::debug!(id = &*offer.id, reused = pooled.reused, slowness = slowness,
+        log::debug!(id = &*offer.id, reused = reused, slowness = slowness,
             route = &*offer.route, run_ms = service_time.as_millis() as u64;
             "upstream finished request");
         end
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -108,21 +108,23 @@
 ///
 /// A connection is not reused if the response arrives before the request is written completely,
 /// since the upstream may still wait for the rest. Responses with another id belong to earlier
-/// requests and are skipped.
+/// requests and are skipped; so are refusals without an id on a connection that was used before,
+/// which may be those of earlier requests.
 ///
 /// # Errors
 ///
 /// Returns how the exchange failed; the request may have run.
 pub async fn exchange(
-    mut conn: HttpConn,
+    pooled: PooledConn,
     request: &[u8],
     id: &str,
     max_body_bytes: usize,
 ) -> Result<Exchange, ExchangeError> {
+    let PooledConn { mut conn, reused } = pooled;
     let mut writer = conn.writer();
     let lost = ExchangeError { why: ErrorKind::ConnectionLost, response_started: false };
     let write = Box::pin(async move { writer.write_all(request).await });
-    let read = Box::pin(read_response_to(&mut conn, id, max_body_bytes));
+    let read = Box::pin(read_response_to(&mut conn, id, reused, max_body_bytes));
     let (result, written) = match select(write, read).await {
         Either::Left((Ok(()), read)) => (read.await, true),
         // A response that the upstream sent before it stopped reading still counts.
@@ -155,6 +157,7 @@
 async fn read_response_to(
     conn: &mut HttpConn,
     id: &str,
+    reused: bool,
     max_body_bytes: usize,
 ) -> Result<(ResponseHead, Vec<u8>), ExchangeError> {
     for _ in 0..MAX_RESPONSES_READ {
@@ -171,8 +174,12 @@
         match head.headers.get(header::REQUEST_ID) {
             Some(echoed) if echoed == id => return Ok((head, body)),
             // An upstream may refuse a request without having read its id.
-            None if head.headers.get(header::NOT_RUN).is_some() => return Ok((head, body)),
-            None if head.status == header::STATUS_MISDIRECTED => return Ok((head, body)),
+            None if !reused && head.headers.get(header::NOT_RUN).is_some() => {
+                return Ok((head, body));
+            }
+            None if !reused && head.status == header::STATUS_MISDIRECTED => {
+                return Ok((head, body));
+            }
             _ => log::info!(id = id, other = head.headers.get(header::REQUEST_ID).unwrap_or("");
                 "skipped response to another request"),
         }
--- a/tests/mesh/upstream_responses.rs
+++ b/tests/mesh/upstream_responses.rs
@@ -10,7 +10,7 @@
 use futures_util::AsyncReadExt;
 use oleandertiller::mesh::{
     http::{Headers, HttpConn, encode_request},
-    upstream::{Exchange, ExchangeError, exchange},
+    upstream::{Exchange, ExchangeError, PooledConn, exchange},
 };
 
 /// Opens a connection whose peer answers the first requests with `responses`, one each, and then
@@ -31,10 +31,15 @@
     HttpConn::connect(address).await.unwrap()
 }
 
-async fn request(conn: HttpConn, id: &str) -> Result<Exchange, ExchangeError> {
+async fn request_on(conn: HttpConn, reused: bool, id: &str) -> Result<Exchange, ExchangeError> {
     let mut headers = Headers::default();
     headers.set("Host", "x");
-    exchange(conn, &encode_request("GET", "/", &headers, &[]), id, 1 << 20).await
+    let pooled = PooledConn { conn, reused };
+    exchange(pooled, &encode_request("GET", "/", &headers, &[]), id, 1 << 20).await
+}
+
+async fn request(conn: HttpConn, id: &str) -> Result<Exchange, ExchangeError> {
+    request_on(conn, false, id).await
 }
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nOleandertiller-Attempt-Id: a\r\n\
@@ -70,3 +75,30 @@
         }
     });
 }
+
+/// Guards against a request that is reported as not run because the upstream wrote the refusal of an
+/// earlier one again on the connection.
+#[test]
+fn repeated_refusal_of_an_earlier_request_is_skipped() {
+    block_on(async {
+        let refusal =
+            "HTTP/1.1 503 Busy\r\nOleandertiller-Not-Executed: 1\r\nContent-Length: 0\r\n";
+        let answer_b = HEAD.replace("Id: a", "Id: b") + "Content-Length: 5\r\n\r\nhello";
+        for stale in [
+            format!("{refusal}\r\n"),
+            format!("{refusal}Oleandertiller-Attempt-Id: a\r\n\r\n"),
+            "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        ] {
+            let first = format!("{refusal}Oleandertiller-Attempt-Id: a\r\n\r\n");
+            let second = stale.clone() + &answer_b;
+            let conn = connect_to(vec![first.into_bytes(), second.into_bytes()]).await;
+            let first = request(conn, "a").await.unwrap();
+            assert_eq!(first.response.status, 503);
+            let second = request_on(first.conn.unwrap().0, true, "b").await.unwrap();
+            assert_eq!(second.response.status, 200, "after {stale:?}");
+        }
+        // On a new connection a refusal without an id can only mean this request.
+        let conn = connect_to(vec![format!("{refusal}\r\n").into_bytes()]).await;
+        assert_eq!(request(conn, "a").await.unwrap().response.status, 503);
+    });
+}
