Complete a rollout only with recent answers, and keep requests for the time after it

Cause of the first: a new leader took all answers for recent ones, and had no rate for its first 1.1 s, so that it granted nothing, sent all to the old version and completed the new one without a single new answer. It now starts with the mean rate since the order, and counts as recent only what came since it took over. Cause of the second: load test and last check could use up what the requests after the completion need. The load test ends after 1.5 s of a full upstream, the last check leaves them, and the completion is 0.65 s before the deadline, counted from when the share was set.

Changed test: few_failures_at_full_share_are_enough counts the full share from the assessment that set it.

--- a/crates/mesh/src/exposure.rs
+++ b/crates/mesh/src/exposure.rs
@@ -183,17 +183,20 @@
 pub struct RequestRate(VecDeque<(Instant, u64)>);
 
 impl RequestRate {
-    /// Records the number of requests so far; returns the rate per second, once it has been measured
-    /// for long enough.
-    pub fn record(&mut self, requests: u64, now: Instant) -> Option<f64> {
+    /// Records the number of requests in the time since the order; returns the present rate per
+    /// second, or the mean rate if the present one has not been measured for long enough.
+    pub fn record(&mut self, requests: u64, since_order: Duration, now: Instant) -> Option<f64> {
         self.0.push_back((now, requests));
         let age = |at: Instant| now.saturating_duration_since(at);
         while self.0.get(1).is_some_and(|(at, _)| age(*at) >= RATE_TIME) {
             self.0.pop_front();
         }
         let (since, before) = *self.0.front()?;
-        let counted = requests.saturating_sub(before) as f64;
-        (age(since) >= MIN_RATE_TIME).then(|| counted / age(since).as_secs_f64())
+        let (counted, time) = match age(since) >= MIN_RATE_TIME {
+            true => (requests.saturating_sub(before), age(since)),
+            false => (requests, since_order),
+        };
+        (time >= MIN_RATE_TIME).then(|| counted as f64 / time.as_secs_f64())
     }
 }
 
--- a/crates/mesh/src/rollout.rs
+++ b/crates/mesh/src/rollout.rs
@@ -321,7 +321,7 @@
 pub struct Assessor {
     /// Evidence at earlier times, up to the first one that is older than [`RECENT_TIME`].
     history: VecDeque<(Instant, Evidence)>,
-    /// When the version was first found to get all requests.
+    /// Since when the version has got all requests.
     full_share_since: Option<Instant>,
     recent_answers: u64,
 }
@@ -331,7 +331,9 @@
     pub fn assess(&mut self, all: &Evidence, plan: &RolloutPlan, now: Instant) -> Finding {
         let bad_p_value = match plan.share >= 1.0 {
             true => {
-                self.full_share_since.get_or_insert(now);
+                // The share was set after the previous assessment.
+                let previous = self.history.back().map_or(now, |(at, _)| *at);
+                self.full_share_since.get_or_insert(previous);
                 BAD_P_VALUE_AT_FULL_SHARE
             }
             false => {
@@ -343,10 +345,9 @@
         while self.history.get(1).is_some_and(|(at, _)| is_old(*at)) {
             self.history.pop_front();
         }
-        let recent = match self.history.front() {
-            Some((at, before)) if is_old(*at) => all.since(before, &plan.version),
-            _ => all.clone(),
-        };
+        // A new leader does not know which of the answers are recent.
+        let before = self.history.front().map_or(all, |(_, before)| before);
+        let recent = all.since(before, &plan.version);
         self.recent_answers = recent.answers(Some(&plan.version));
         self.history.push_back((now, all.clone()));
         let findings =
@@ -419,17 +420,17 @@
 const FULL_SHARE_IDLE_DURATION: Duration = Duration::from_millis(500);
 
 /// Minimum of that time if the deadline is near.
-const FULL_SHARE_MIN_DURATION: Duration = Duration::from_millis(200);
+const FULL_SHARE_MIN_DURATION: Duration = Duration::from_millis(150);
 
 /// Factor by which the rate of requests may rise after the completion, when nothing limits them.
 const BURST_FACTOR: f64 = 2.0;
 
 /// Time before the deadline at which a rollout completes at the latest: the time until the operators
 /// see it, and for a delayed assessment.
-const COMPLETION_MARGIN: Duration = Duration::from_millis(800);
+const COMPLETION_MARGIN: Duration = Duration::from_millis(650);
 
 /// Time before the deadline from which a version gets all requests at the latest.
-const LATEST_FULL_SHARE: Duration = Duration::from_millis(1_300);
+const LATEST_FULL_SHARE: Duration = Duration::from_millis(1_200);
 
 /// Time before the deadline at which a version that is not shown to be good is rolled back.
 const ROLLBACK_MARGIN: Duration = Duration::from_millis(400);
@@ -448,11 +449,14 @@
 const LOAD_TEST_FILL: f64 = 1.5;
 
 /// Share of the allowed exposure that may be used by the end of the load test.
-const LOAD_TEST_EXPOSURE_SHARE: f64 = 0.35;
+const LOAD_TEST_EXPOSURE_SHARE: f64 = 0.4;
 
 /// The same if the version is suspect: more answers decide whether it fails under load.
 const LOAD_TEST_SUSPECT_EXPOSURE_SHARE: f64 = 0.55;
 
+/// Time for which the load test fills one upstream, at most.
+const LOAD_TEST_DURATION: Duration = Duration::from_millis(1_500);
+
 /// Requests per second of the new version before the load test.
 const CANARY_PER_SECOND: f64 = 2.0;
 
@@ -461,7 +465,7 @@
 
 /// Share of the allowed exposure for the last seconds before the version gets all requests, so that
 /// there are recent answers.
-const RECHECK_EXPOSURE_SHARE: f64 = 0.08;
+const RECHECK_EXPOSURE_SHARE: f64 = 0.06;
 
 /// Time before the full share over which they are spread, and that before it in which the nodes learn
 /// of their share.
@@ -527,11 +531,12 @@
 
     /// Returns how many requests the load test may get in addition to `counts`.
     fn load_test_room(&self, counts: RequestCounts) -> f64 {
-        let share = match self.suspect {
-            true => LOAD_TEST_SUSPECT_EXPOSURE_SHARE,
-            false => LOAD_TEST_EXPOSURE_SHARE,
+        let (share, duration) = match self.suspect {
+            true => (LOAD_TEST_SUSPECT_EXPOSURE_SHARE, LOAD_TEST_DURATION * 2),
+            false => (LOAD_TEST_EXPOSURE_SHARE, LOAD_TEST_DURATION),
         };
-        self.expected_limit() * share - counts.new as f64
+        let fill = self.upstream_per_second * duration.as_secs_f64();
+        (self.expected_limit() * share).min(fill) - counts.new as f64
     }
 
     fn is_under_load_test(&self) -> bool {
@@ -589,15 +594,14 @@
     /// Returns how many requests the leader may grant to the new version, which has `share`, in
     /// addition to those granted before.
     pub fn grantable(&self, share: f64) -> f64 {
+        // Nothing limits the requests after the completion.
+        let after = self.requests_in(COMPLETION_MARGIN.min(self.time_left()));
         let remaining = self.exposure.remaining(self.committed);
-        if share >= 1.0 {
-            // Nothing limits the requests after the completion.
-            let after = COMPLETION_MARGIN.min(self.time_left());
-            return remaining - self.requests_in(after) * BURST_FACTOR;
-        }
-        match self.is_under_load_test() {
-            true => remaining.min(self.load_test_room(self.committed)),
-            false => remaining,
+        match share {
+            1.0.. => remaining - after * BURST_FACTOR,
+            // The limit grows until then.
+            _ if self.is_under_load_test() => remaining.min(self.load_test_room(self.committed)),
+            _ => remaining - after,
         }
     }
 
--- a/crates/mesh/tests/mesh/exposure.rs
+++ b/crates/mesh/tests/mesh/exposure.rs
@@ -275,7 +275,7 @@
             at_full_share: assessor.at_full_share(at),
             suspect: finding == Finding::Suspect,
             recent_answers: assessor.recent_answers(),
-            requests_per_second: request_rate.record(counts.all, at),
+            requests_per_second: request_rate.record(counts.all, Duration::from_secs_f64(now), at),
             upstream_per_second: SLOTS.0 as f64 / 0.22,
             old_running: runs.iter().filter(|run| run.0.upstream.is_none()).count() as u32,
             counts,
--- a/crates/mesh/tests/mesh/rollout.rs
+++ b/crates/mesh/tests/mesh/rollout.rs
@@ -113,6 +113,25 @@
     assert!(matches!(assessor.assess(&all, &canary, at(3.0)), Finding::Bad(_)));
 }
 
+/// Guards against a version that a new leader completes by answers from before it took over.
+#[test]
+fn new_leader_has_no_recent_answers() {
+    let mut assessor = Assessor::default();
+    let (full_share, now) = (plan(Phase::Running, 1.0), Instant::now());
+    let mut all = evidence((400, 2), (80, 0), 200);
+    assert_eq!(assessor.assess(&all, &full_share, now), Finding::Good(80));
+    assert_eq!(assessor.recent_answers(), 0);
+    all.merge(&evidence((0, 0), (9, 0), 200));
+    assessor.assess(&all, &full_share, now + Duration::from_secs(1));
+    assert_eq!(assessor.recent_answers(), 9);
+    let waiting = RolloutProgress {
+        recent_answers: 0,
+        at_full_share: Duration::from_secs(1),
+        ..progress(15.5)
+    };
+    assert_eq!(next_step(&full_share, &Finding::Good(80), &waiting), Step::Stay);
+}
+
 /// Guards against a full share that goes on for longer than a second because a fault that shows
 /// only there counts as chance.
 #[test]
@@ -124,10 +143,14 @@
     assessor.assess(&all, &plan(Phase::Running, 0.02), now);
     assert_eq!(assessor.at_full_share(now), Duration::ZERO);
     let later = now + Duration::from_secs(3);
+    assessor.assess(&all, &plan(Phase::Running, 0.02), later);
+    let since = later;
+    let later = later + Duration::from_millis(250);
     assert_eq!(assessor.assess(&all, &full_share, later), Finding::Good(60));
     all.merge(&evidence((0, 0), (14, 3), 200));
     assert!(matches!(assessor.assess(&all, &full_share, later), Finding::Bad(_)));
-    let end = later + Duration::from_secs(1);
+    // It has been set after the assessment before the first one that finds it.
+    let end = since + Duration::from_secs(1);
     assert_eq!(assessor.at_full_share(end), Duration::from_secs(1));
 }
 
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -231,7 +231,7 @@
             at_full_share: self.assessor.at_full_share(now),
             suspect: finding == Finding::Suspect,
             recent_answers: self.assessor.recent_answers(),
-            requests_per_second: self.request_rate.record(counts.all, now),
+            requests_per_second: self.request_rate.record(counts.all, elapsed, now),
             upstream_per_second: self.shared.owner.full_rate(),
             old_running: self.old_running,
             counts,
@@ -249,9 +249,9 @@
             Step::Share(share) => share,
             _ => plan.share,
         };
-        let is_bad = matches!(finding, Finding::Bad(_));
+        let may_grant = !matches!(finding, Finding::Bad(_));
         self.granting = match progress.requests_per_second {
-            Some(per_second) if !is_bad => {
+            Some(per_second) if may_grant => {
                 Granting::Within(Demand { share, per_second, room: progress.grantable(share) })
             }
             _ => Granting::Nothing,
