--- a/crates/mesh/src/exposure.rs
+++ b/crates/mesh/src/exposure.rs
@@ -104,7 +104,9 @@
 
     /// Takes over a grant, unless it is for another order or from an earlier leader.
     pub fn on_grant(&mut self, grant: Grant, now: Instant) {
-        let known_fence = self.grant.as_ref().map_or(0, |(known, _)| known.fence);
+        // After a restore of the store a new leader has a lower fence than one before it.
+        let in_force = self.grant.as_ref().filter(|(_, lapses_at)| now < *lapses_at);
+        let known_fence = in_force.map_or(0, |(known, _)| known.fence);
         if grant.order_revision == self.order_revision && grant.fence >= known_fence {
             self.grant = Some((grant, now + GRANT_LIFETIME));
         }
--- a/crates/mesh/tests/mesh/exposure_counts.rs
+++ b/crates/mesh/tests/mesh/exposure_counts.rs
@@ -70,8 +70,11 @@
     assert_eq!(starts(&mut owner, received + Duration::from_secs(1)), 0, "a lapsed grant");
     owner.on_grant(grant(6, 50), received);
     assert_eq!(starts(&mut owner, received), 47);
+    let restored = received + Duration::from_secs(2);
+    owner.on_grant(grant(2, 51), restored);
+    assert_eq!(starts(&mut owner, restored), 1, "a leader after a restore of the store");
     owner.on_not_sent(&"v2".into());
-    assert_eq!(starts(&mut owner, received), 1, "a request that was not sent");
+    assert_eq!(starts(&mut owner, restored), 1, "a request that was not sent");
 }
 
 /// Guards against grants that are forgotten when an owner does not answer or restarts, and given to
