--- a/crates/routing/tests/outcome.rs
+++ b/crates/routing/tests/outcome.rs
@@ -48,6 +48,7 @@
         E::KeyInDoubt,
         E::KeyInProgress,
         E::KeeperUnreachable,
+        E::CrashesUpstreams,
         E::UpstreamTimeout,
         E::Cancelled,
         E::Unauthorized,
