Recognize the leadership of a rollout by the key's value, not by the answer to its write

Cause: the leader learned the revision of its key only from the answer to its own write. If the store applied the write and the answer was lost, the watch brought the key with this node's name, but without a known revision the node took it for the key of an earlier process. It kept renewing the lease of that key, and every other node saw a leader.

The key now names the process (node, start, random number); whoever finds itself there leads. The revision has one place, updated by answers, refusals and the watch. Related: giving up the leadership is tried until the process exits, and a leader gives it up when its upstream is gone.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`crash_suspects`]: which requests crash the upstreams that run them.
 //! - [`exposure`]: how many requests a version gets while it is rolled out.
 //! - [`latency_estimate`]: how long answers take, and when a request is hedged.
+//! - [`leadership`]: which process leads the rollouts of a service.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
 //! - [`placement`]: in which order an ingress asks the owners.
@@ -24,6 +25,7 @@
 pub mod crash_suspects;
 pub mod exposure;
 pub mod latency_estimate;
+pub mod leadership;
 pub mod lease;
 pub mod members;
 pub mod placement;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -6,6 +6,7 @@
 mod crash_suspects;
 mod exposure;
 mod exposure_counts;
+mod leadership;
 mod lease;
 mod load;
 mod members;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,5 +6,5 @@
 mod kv_store;
 mod mesh_upstream;
 
-pub use kv_store::{Copy, KvStore, Outage};
+pub use kv_store::{Copy, KvStore, LostWrite, Outage};
 pub use mesh_upstream::{MeshUpstream, MeshUpstreamBehaviour, Run};
--- a/crates/standin/src/platform/kv_store.rs
+++ b/crates/standin/src/platform/kv_store.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use async_std::future::timeout;
+use async_std::{future::timeout, task};
 use base64::{Engine, prelude::BASE64_STANDARD};
 use event_listener::Event;
 use serde_json::{Value, json};
@@ -31,6 +31,17 @@
     Reset,
 }
 
+/// What becomes of a transaction whose answer is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LostWrite {
+    /// It takes effect at once.
+    Done,
+    /// It takes effect after this time, if its conditions hold then.
+    Late(Duration),
+    /// It has no effect.
+    NotDone,
+}
+
 #[derive(Clone, Debug)]
 struct StoredValue {
     value: Vec<u8>,
@@ -60,6 +71,8 @@
     /// Revision up to which the history has been compacted away.
     compacted_revision: u64,
     outage: Outage,
+    /// The next transaction that writes or removes a key with this prefix gets no answer.
+    lost_write: Option<(String, LostWrite)>,
     calls: u64,
 }
 
@@ -73,6 +86,7 @@
             history: Vec::new(),
             compacted_revision: 0,
             outage: Outage::None,
+            lost_write: None,
             calls: 0,
         }
     }
@@ -148,6 +162,16 @@
         self.shared.lock().outage = outage;
     }
 
+    /// Loses the answer to the next transaction that writes or removes a key with a prefix.
+    pub fn lose_answer(&self, prefix: &str, lost: LostWrite) {
+        self.shared.lock().lost_write = Some((prefix.to_owned(), lost));
+    }
+
+    /// Returns whether the answer that [`Self::lose_answer`] announced has been lost.
+    pub fn has_lost_answer(&self) -> bool {
+        self.shared.lock().lost_write.is_none()
+    }
+
     /// Drops the history of changes, so that clients must list the keys again before they watch.
     pub fn compact_history(&self) {
         let mut state = self.shared.lock();
@@ -187,6 +211,7 @@
             leases: leases.into_iter().map(|(id, (ttl, _))| (id, (ttl, now))).collect(),
             compacted_revision: revision,
             outage: state.outage,
+            lost_write: state.lost_write.take(),
             calls: state.calls,
             history: Vec::new(),
         };
@@ -255,6 +280,15 @@
         keys.iter().for_each(|key| self.remove(key));
     }
 
+    /// Returns what becomes of a transaction if its answer is to be lost.
+    fn take_lost_write(&mut self, body: &Value) -> Option<LostWrite> {
+        let (prefix, _) = self.lost_write.as_ref()?;
+        let rows = |name: &str| body[name].as_array().into_iter().flatten();
+        let mut keys = rows("writes").map(|row| &row["key"]).chain(rows("remove"));
+        let matches = keys.any(|key| key.as_str().is_some_and(|key| key.starts_with(prefix)));
+        matches.then(|| self.lost_write.take())?.map(|(_, lost)| lost)
+    }
+
     /// Returns the revision of a key; 0 if it does not exist.
     fn revision_of(&self, key: &str) -> u64 {
         self.keys.get(key).map_or(0, |stored| stored.revision)
@@ -320,6 +354,9 @@
             Outage::Busy => return Some(text(StatusCode::ServiceUnavailable, "busy")),
             Outage::Reset => return None,
         }
+        if call.path() == "api/kv-txn" {
+            self.lose_answer(&call).await;
+        }
         let mut res = self.respond(&call).await;
         res.insert_header("Store-Era", self.0.lock().era.to_string());
         Some(res)
@@ -327,6 +364,26 @@
 }
 
 impl RequestHandler {
+    /// Never returns if the answer to a transaction is to be lost.
+    async fn lose_answer(&self, call: &Call) {
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
+        let Some(lost) = self.0.lock().take_lost_write(&body) else { return };
+        match lost {
+            LostWrite::Done => drop(self.respond(call).await),
+            LostWrite::Late(time) => {
+                let shared = self.0.clone();
+                // The caller may close the connection, which ends this handler.
+                task::spawn(async move {
+                    task::sleep(time).await;
+                    shared.lock().transact(&body);
+                    shared.changed.notify(usize::MAX);
+                });
+            }
+            LostWrite::NotDone => {}
+        }
+        pending().await
+    }
+
     async fn respond(&self, call: &Call) -> Response {
         let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
         let path = call.path().to_owned();
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -1,7 +1,6 @@
 //! Starts a mesh node from its settings and stops it gracefully.
 
 use std::{
-    collections::BTreeMap,
     io,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -15,7 +14,8 @@
 use bytes::Bytes;
 use event_listener::Event;
 use oleandertiller_mesh::{
-    config::Config, exposure::ExposureLimit, members::NodeRecord, retry_budget::RetryBudgetConfig,
+    config::Config, exposure::ExposureLimit, leadership::ProcessId, members::NodeRecord,
+    retry_budget::RetryBudgetConfig,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -80,8 +80,8 @@
 pub struct Shared<C: Clock> {
     /// Settings that the process was started with.
     pub settings: MeshSettings,
-    /// Start of the process, in milliseconds since the Unix epoch.
-    pub incarnation: u64,
+    /// This process, as it names itself in the store.
+    pub process: ProcessId,
     /// Source of the monotonic and the wall-clock time.
     pub clock: C,
     /// Delays and timeouts of all tasks.
@@ -111,7 +111,6 @@
     rewrite: AtomicBool,
     stored_record: Mutex<Option<NodeRecord>>,
     lease: Mutex<Option<u64>>,
-    leaderships: Mutex<BTreeMap<ServiceName, u64>>,
     store_failures: Event,
 }
 
@@ -167,7 +166,7 @@
     pub fn record(&self) -> NodeRecord {
         NodeRecord {
             node: self.settings.node.name.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.process.incarnation,
             inner: self.settings.listen.inner,
             zone: self.settings.node.zone.clone(),
             stopping: self.stopping.load(Ordering::Relaxed),
@@ -200,28 +199,17 @@
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
     }
 
-    /// Returns the revision at which this process took over the leadership of a service's rollouts.
+    /// Returns the revision of the leader's key if this process leads the service's rollouts.
     pub fn leadership_revision(&self, service: &ServiceName) -> Option<u64> {
-        self.leaderships.lock().unwrap_or_else(PoisonError::into_inner).get(service).copied()
-    }
-
-    /// Returns the services whose rollouts this process leads, with the revisions at which it took
-    /// over.
-    pub fn leaderships(&self) -> BTreeMap<ServiceName, u64> {
-        self.leaderships.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Sets the revision at which this process took over the leadership of a service's rollouts.
-    pub fn set_leadership_revision(&self, service: &ServiceName, revision: u64) {
-        let mut leaderships = self.leaderships.lock().unwrap_or_else(PoisonError::into_inner);
-        leaderships.insert(service.clone(), revision);
+        let deployment = self.deployment();
+        let held = deployment.leaderships.get(service)?;
+        (held.leader == self.process).then_some(held.revision)
     }
 
     /// Forgets what the process has written to the store, after the store was restored from a copy.
     pub fn forget_written(&self) {
         self.set_lease(None);
         *self.stored_record() = None;
-        self.leaderships.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
     /// Returns the limit on requests to a bad version.
@@ -386,7 +374,11 @@
     let metrics = Arc::new(Metrics::default());
     let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     Shared {
-        incarnation: started.as_millis() as u64,
+        process: ProcessId {
+            node: settings.node.name.clone(),
+            incarnation: started.as_millis() as u64,
+            nonce: rand::random(),
+        },
         owner: Arc::new(Owner::new(
             owner_cfg,
             clock.clone(),
@@ -409,7 +401,6 @@
         active: AtomicUsize::new(0),
         rewrite: AtomicBool::new(false),
         lease: Mutex::new(None),
-        leaderships: Mutex::default(),
         store_failures: Event::new(),
         store_read: Flag::default(),
         store_unreachable: Flag::default(),
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -10,6 +10,7 @@
     admission_queue::OwnerState,
     config::{Config, Route},
     latency_estimate::LatencyEstimate,
+    leadership::{Leadership, ProcessId},
     members::{Member, Members, NodeRecord},
     placement::Candidate,
     retry_budget::{RetryBudget, RetryBudgetConfig},
@@ -55,8 +56,8 @@
     pub plans: BTreeMap<ServiceName, (u64, RolloutPlan)>,
     /// Services whose plan the store has lost; the leader has to write it again.
     pub lost_plans: BTreeSet<ServiceName>,
-    /// Rollout leaders by service, with the revision of their key.
-    pub leaders: BTreeMap<ServiceName, (u64, NodeName)>,
+    /// Leaderships of rollouts by service.
+    pub leaderships: BTreeMap<ServiceName, Leadership>,
     owner_states: HashMap<NodeName, (OwnerState, Instant)>,
     in_flight: HashMap<NodeName, u32>,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
@@ -81,7 +82,7 @@
             orders: BTreeMap::new(),
             plans: BTreeMap::new(),
             lost_plans: BTreeSet::new(),
-            leaders: BTreeMap::new(),
+            leaderships: BTreeMap::new(),
             owner_states: HashMap::new(),
             in_flight: HashMap::new(),
             limited_owners: HashMap::new(),
@@ -97,7 +98,7 @@
     /// Forgets the revisions of an earlier era of the store before its keys are listed anew; returns
     /// the rollouts for [`Self::resume_rollouts`].
     pub fn forget_era(&mut self) -> KnownRollouts {
-        self.leaders.clear();
+        self.leaderships.clear();
         KnownRollouts {
             orders: std::mem::take(&mut self.orders),
             plans: std::mem::take(&mut self.plans),
@@ -151,6 +152,34 @@
         (plan.version == *version).then_some(plan.phase == Phase::Running)
     }
 
+    /// Takes over a leadership that the store holds; returns whether it is news. Answers to writes
+    /// and watched changes may arrive in any order.
+    pub fn on_leadership(&mut self, service: &ServiceName, leadership: Leadership) -> bool {
+        let known = self.leaderships.get(service);
+        if known.is_some_and(|known| known.revision >= leadership.revision) {
+            return false;
+        }
+        self.leaderships.insert(service.clone(), leadership);
+        true
+    }
+
+    /// Records that the leader's key was removed at a revision; returns whether that ends the known
+    /// leadership.
+    pub fn on_leadership_removed(&mut self, service: &ServiceName, revision: u64) -> bool {
+        let known = self.leaderships.get(service);
+        let ends = known.is_some_and(|known| known.revision < revision);
+        if ends {
+            self.leaderships.remove(service);
+        }
+        ends
+    }
+
+    /// Returns the leaderships that the store holds for a process.
+    pub fn leaderships_of(&self, process: &ProcessId) -> Vec<(ServiceName, u64)> {
+        let own = self.leaderships.iter().filter(|(_, held)| held.leader == *process);
+        own.map(|(service, held)| (service.clone(), held.revision)).collect()
+    }
+
     /// Returns whether any service has a running rollout, or an order that no leader has taken up.
     pub fn has_open_rollout(&self) -> bool {
         let running = self.plans.values().any(|(_, plan)| plan.phase == Phase::Running);
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -7,19 +7,20 @@
 use std::{
     collections::BTreeMap,
     sync::Arc,
-    time::{Duration, Instant, UNIX_EPOCH},
+    time::{Duration, UNIX_EPOCH},
 };
 
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
     exposure::{Demand, ExposureLedger, Grant, RequestRate},
+    leadership::{Candidate, LeaderStep, Leadership, ProcessId},
     members::NodeRecord,
     rollout::{Assessor, Evidence, Finding, Phase, RolloutPlan, RolloutProgress, Step, next_step},
 };
 use oleandertiller_model::{Clock, NodeName, ServiceName, VersionName, codec};
 use oleandertiller_platform::{
     rollout::{RolloutState, STATUS_PREFIX, write_status},
-    store::{Answer, Call, Transaction},
+    store::{Answer, Call, Item, Transaction},
 };
 
 use super::{
@@ -35,9 +36,16 @@
 /// Timeout of requesting the report of an owner.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Delay of an attempt to become leader, once for each node of the service with a lesser name, so
-/// that the nodes try in turn.
-const LEADERSHIP_DELAY: Duration = Duration::from_millis(200);
+/// Decodes a leader's key. Earlier releases write only the name of the node, which names none of the
+/// processes of this release.
+pub fn read_leadership(item: &Item) -> Leadership {
+    let leader = serde_json::from_slice(&item.value).unwrap_or_else(|_| ProcessId {
+        node: NodeName::new(String::from_utf8_lossy(&item.value).as_ref()),
+        incarnation: 0,
+        nonce: 0,
+    });
+    Leadership { revision: item.revision, leader }
+}
 
 /// What a leader grants to the owners of the new version.
 #[derive(Clone, Copy, Debug, Default)]
@@ -65,13 +73,13 @@
     granting: Granting,
     /// Time until the next assessment.
     pause: Duration,
-    /// When the open order was first found without a leader.
-    leaderless_since: Option<Instant>,
+    candidate: Candidate,
 }
 
 impl<C: Clock> RolloutLeader<C> {
     /// Creates a leader that has taken up no rollout.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
+        let candidate = Candidate::new(shared.process.clone());
         Self {
             shared,
             evidence: BTreeMap::new(),
@@ -82,7 +90,7 @@
             assessor: Assessor::default(),
             granting: Granting::Nothing,
             pause: ASSESS_INTERVAL,
-            leaderless_since: None,
+            candidate,
         }
     }
 
@@ -94,9 +102,10 @@
             if self.shared.is_stopping() {
                 return self.resign().await;
             }
+            self.give_up_others().await;
             let Some((service, received)) = self.open_order() else {
                 self.evidence.clear();
-                self.leaderless_since = None;
+                self.candidate.on_no_order();
                 continue;
             };
             if self.leads(&service).await {
@@ -105,18 +114,58 @@
         }
     }
 
-    /// Gives up the leadership, so that another node can take over immediately.
+    /// Gives up all leaderships until the process exits, so that another node can take over. A
+    /// write may take effect late, and an answer may be lost.
     async fn resign(&self) {
-        for (service, revision) in self.shared.leaderships() {
-            let key = format!("{LEADER_PREFIX}{service}");
-            let transaction = Transaction {
-                conditions: vec![(key.clone(), revision)],
-                writes: Vec::new(),
-                removals: vec![key],
-            };
-            let answer = self.shared.store.call(&Call::Write(transaction)).await;
-            log::info!(service = service.as_str(), answer:? = answer;
-                "leadership of the rollout given up");
+        loop {
+            let held = self.shared.deployment().leaderships_of(&self.shared.process);
+            for (service, revision) in held {
+                self.give_up(&service, revision).await;
+            }
+            self.shared.timers.at(self.shared.clock.now() + ASSESS_INTERVAL).await;
+        }
+    }
+
+    /// Gives up the leaderships of services that the local upstream does not run, or no longer runs.
+    async fn give_up_others(&self) {
+        let served = self.shared.owner.announcement().map(|announcement| announcement.service);
+        let held = self.shared.deployment().leaderships_of(&self.shared.process);
+        for (service, revision) in held {
+            if Some(&service) != served.as_ref() {
+                self.give_up(&service, revision).await;
+            }
+        }
+    }
+
+    /// Gives up a leadership, whose key has `revision`.
+    async fn give_up(&self, service: &ServiceName, revision: u64) {
+        let key = format!("{LEADER_PREFIX}{service}");
+        let transaction = Transaction {
+            conditions: vec![(key.clone(), revision)],
+            writes: Vec::new(),
+            removals: vec![key],
+        };
+        let answer = self.shared.store.call(&Call::Write(transaction)).await;
+        log::info!(service = service.as_str(), answer:? = answer;
+            "leadership of the rollout given up");
+        match answer {
+            Ok(Answer::Written { revision }) => {
+                self.shared.deployment().on_leadership_removed(service, revision);
+            }
+            // The key has been written or removed since.
+            Ok(Answer::Conflict(items)) => self.on_conflict(service, revision, &items),
+            _ => {}
+        }
+    }
+
+    /// Takes over what the store holds in place of the leadership at `revision`, on which a write
+    /// was conditional.
+    fn on_conflict(&self, service: &ServiceName, revision: u64, items: &[Item]) {
+        let key = format!("{LEADER_PREFIX}{service}");
+        let mut deployment = self.shared.deployment();
+        match items.iter().find(|item| item.key == key) {
+            Some(item) => drop(deployment.on_leadership(service, read_leadership(item))),
+            None => drop(deployment.on_leadership_removed(service, revision + 1)),
         }
     }
 
@@ -133,36 +182,46 @@
 
     /// Returns whether this node leads, after trying to become leader if there is none.
     async fn leads(&mut self, service: &ServiceName) -> bool {
-        let now = self.shared.clock.now();
-        let name = &self.shared.settings.node.name;
-        let leader = self.shared.deployment().leaders.get(service).cloned();
-        if let Some((revision, leader)) = leader {
-            self.leaderless_since = None;
-            // The key may be that of an earlier process of this node, whose lease expires soon.
-            return leader == *name && self.shared.leadership_revision(service) == Some(revision);
-        }
-        let since = *self.leaderless_since.get_or_insert(now);
-        let delay = LEADERSHIP_DELAY * self.nodes_with_lesser_name(service) as u32;
-        if now.saturating_duration_since(since) < delay {
-            return false;
+        let known = self.shared.deployment().leaderships.get(service).cloned();
+        let lesser_names = self.nodes_with_lesser_name(service);
+        match self.candidate.step(known.as_ref(), lesser_names, self.shared.clock.now()) {
+            LeaderStep::Lead => true,
+            LeaderStep::Wait => false,
+            LeaderStep::TakeOver => self.take_over(service).await,
         }
+    }
+
+    /// Tries to become leader; returns whether this node leads. If the answer is lost, the watch or
+    /// the next attempt tells whether the write took effect.
+    async fn take_over(&self, service: &ServiceName) -> bool {
         let Some(lease) = self.shared.lease() else { return false };
+        let value = match serde_json::to_vec(&self.shared.process) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(error:% = error; "name of the leader could not be encoded as JSON");
+                return false;
+            }
+        };
         let key = format!("{LEADER_PREFIX}{service}");
         let transaction = Transaction {
             conditions: vec![(key.clone(), 0)],
-            writes: vec![(key, name.as_str().as_bytes().to_vec(), lease)],
+            writes: vec![(key, value, lease)],
             removals: Vec::new(),
         };
-        if let Ok(Answer::Written { revision }) =
-            self.shared.store.call(&Call::Write(transaction)).await
-        {
-            log::info!(service = service.as_str(), revision = revision;
-                "this node leads the rollout");
-            self.shared.set_leadership_revision(service, revision);
-            self.shared.deployment().leaders.insert(service.clone(), (revision, name.clone()));
-            return true;
+        match self.shared.store.call(&Call::Write(transaction)).await {
+            Ok(Answer::Written { revision }) => {
+                log::info!(service = service.as_str(), revision = revision;
+                    "this node leads the rollout");
+                let leadership = Leadership { revision, leader: self.shared.process.clone() };
+                self.shared.deployment().on_leadership(service, leadership);
+            }
+            Ok(Answer::Conflict(items)) => self.on_conflict(service, 0, &items),
+            answer => {
+                log::info!(service = service.as_str(), answer:? = answer;
+                    "whether this node leads the rollout is not known yet");
+            }
         }
-        false
+        self.shared.leadership_revision(service).is_some()
     }
 
     /// Returns the number of nodes of the service with a lesser name than this one.
@@ -317,7 +376,8 @@
             }
             Ok(Answer::Conflict(items)) => {
                 log::warn!(service = service.as_str(), revision = revision;
-                    "rollout plan not written: it has been written meanwhile");
+                    "rollout plan not written: the plan or the leader has been written meanwhile");
+                self.on_conflict(service, fence, &items);
                 let stored = items.iter().find(|item| item.key == plan_key);
                 if let Some(item) = stored
                     && let Ok(plan) = serde_json::from_slice(&item.value)
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -14,7 +14,7 @@
     rollout::RolloutPlan,
     upstream::Announcement,
 };
-use oleandertiller_model::{Clock, NodeName, ServiceName, ZoneName, codec};
+use oleandertiller_model::{Clock, ServiceName, ZoneName, codec};
 use oleandertiller_platform::{
     config,
     rollout::{self, CONFIG_KEY, EVACUATION_PREFIX, ROLLOUT_PREFIX, STATUS_PREFIX},
@@ -28,6 +28,7 @@
     daemon::Shared,
     deployment_state::ReceivedOrder,
     registration::RECORD_PREFIX,
+    rollout_leader::read_leadership,
     store::StoreError,
 };
 
@@ -322,7 +323,7 @@
         for event in events {
             match event {
                 Event::Put(item) => self.apply_put(item),
-                Event::Removed { key, .. } => self.apply_removal(&key),
+                Event::Removed { key, revision } => self.apply_removal(&key, revision),
             }
         }
         self.adopt().await;
@@ -348,7 +349,7 @@
         deployment.evacuated.retain(|zone, _| is_listed(EVACUATION_PREFIX, zone.as_str()));
         deployment.orders.retain(|service, _| is_listed(ROLLOUT_PREFIX, service.as_str()));
         deployment.plans.retain(|service, _| is_listed(PLAN_PREFIX, service.as_str()));
-        deployment.leaders.retain(|service, _| is_listed(LEADER_PREFIX, service.as_str()));
+        deployment.leaderships.retain(|service, _| is_listed(LEADER_PREFIX, service.as_str()));
     }
 
     fn apply_put(&mut self, item: Item) {
@@ -368,17 +369,22 @@
         } else if let Some(service) = key.strip_prefix(PLAN_PREFIX) {
             self.apply_plan(service, &item);
         } else if let Some(service) = key.strip_prefix(LEADER_PREFIX) {
-            let leader = NodeName::new(String::from_utf8_lossy(&item.value).as_ref());
-            log::info!(service = service, leader = leader.as_str(), revision = item.revision;
-                "rollout has a leader");
-            let leaders = &mut self.shared.deployment().leaders;
-            leaders.insert(ServiceName::new(service), (item.revision, leader));
+            self.apply_leadership(service, &item);
         } else if !key.starts_with(STATUS_PREFIX) {
             log::debug!(key = key; "unknown key ignored");
         }
     }
 
-    fn apply_removal(&self, key: &str) {
+    fn apply_leadership(&self, service: &str, item: &Item) {
+        let leadership = read_leadership(item);
+        let (leader, own) = (&leadership.leader, leadership.leader == self.shared.process);
+        log::info!(service = service, leader = leader.node.as_str(),
+            incarnation = leader.incarnation, own = own, revision = item.revision;
+            "rollout has a leader");
+        self.shared.deployment().on_leadership(&ServiceName::new(service), leadership);
+    }
+
+    fn apply_removal(&self, key: &str, revision: u64) {
         let now = self.shared.clock.now();
         if let Some(node) = key.strip_prefix(RECORD_PREFIX) {
             log::info!(peer = node; "record of a node removed");
@@ -394,8 +400,11 @@
         } else if let Some(service) = key.strip_prefix(PLAN_PREFIX) {
             self.shared.deployment().plans.remove(service);
         } else if let Some(service) = key.strip_prefix(LEADER_PREFIX) {
-            log::info!(service = service; "rollout has lost its leader");
-            self.shared.deployment().leaders.remove(service);
+            let service = ServiceName::new(service);
+            if self.shared.deployment().on_leadership_removed(&service, revision) {
+                log::info!(service = service.as_str(), revision = revision;
+                    "rollout has lost its leader");
+            }
         }
     }
 
@@ -435,7 +444,7 @@
             }
         };
         if record.node == self.shared.settings.node.name
-            && record.incarnation != self.shared.incarnation
+            && record.incarnation != self.shared.process.incarnation
         {
             let local_address = self.shared.settings.node.upstream;
             self.earlier_upstream =
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod deadly_requests;
 mod fleet;
 mod http;
+mod lost_answers;
 mod odd_entries;
 mod processes;
 mod soak;
