Write the node's record again when a late write has replaced it

A record's write has no condition, so the store could apply one seconds late and show an upstream as serving whose drain the node had acknowledged since.

Cause: the node took the answer to its last write for the state of the store, and ignored its own record in the watch. It now remembers the revision of its last write; a record of its own at a later revision with other content is written again.

--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -109,7 +109,8 @@
     deployment: Arc<Mutex<DeploymentState>>,
     record_changed: Sender<()>,
     rewrite: AtomicBool,
-    stored_record: Mutex<Option<NodeRecord>>,
+    /// The record as last written, and the store's revision of it.
+    stored_record: Mutex<Option<(u64, NodeRecord)>>,
     lease: Mutex<Option<u64>>,
     store_failures: Event,
 }
@@ -181,12 +182,19 @@
 
     /// Returns whether the store has the current record.
     pub fn is_record_stored(&self) -> bool {
-        self.stored_record().as_ref() == Some(&self.record())
+        self.stored_record().as_ref().is_some_and(|(_, record)| *record == self.record())
     }
 
-    /// Sets the record that the store has.
-    pub fn set_stored_record(&self, record: &NodeRecord) {
-        *self.stored_record() = Some(record.clone());
+    /// Sets the record that the store has, with its revision there.
+    pub fn set_stored_record(&self, revision: u64, record: &NodeRecord) {
+        *self.stored_record() = Some((revision, record.clone()));
+    }
+
+    /// Returns whether a record of this process that the store shows at a revision has replaced the
+    /// current one: an earlier write took effect late.
+    pub fn is_record_replaced(&self, revision: u64, shown: &NodeRecord) -> bool {
+        let written_before = self.stored_record().as_ref().is_some_and(|(at, _)| *at < revision);
+        written_before && *shown != self.record()
     }
 
     /// Returns the lease of the node's record.
@@ -233,7 +241,7 @@
         self.store_failures.listen().await;
     }
 
-    fn stored_record(&self) -> MutexGuard<'_, Option<NodeRecord>> {
+    fn stored_record(&self) -> MutexGuard<'_, Option<(u64, NodeRecord)>> {
         self.stored_record.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -172,8 +172,8 @@
         match self.shared.store.call(&Call::Write(transaction)).await {
             // The write took effect under a lease that may belong to another node by now.
             Ok(Answer::Written { .. }) if self.forget_if_restored() => false,
-            Ok(Answer::Written { .. }) => {
-                self.shared.set_stored_record(&record);
+            Ok(Answer::Written { revision }) => {
+                self.shared.set_stored_record(revision, &record);
                 self.written_record = Some(record);
                 true
             }
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -452,6 +452,12 @@
             self.shared.rewrite();
             return;
         }
+        if record.node == self.shared.settings.node.name
+            && self.shared.is_record_replaced(item.revision, &record)
+        {
+            log::info!(revision = item.revision; "late write has replaced the node's record");
+            self.shared.rewrite();
+        }
         let upstream = record.upstream.as_ref();
         log::info!(peer = node, revision = item.revision, stopping = record.stopping,
             service = upstream.map_or("", |u| u.service.as_str()),
--- a/tests/mesh/lost_answers.rs
+++ b/tests/mesh/lost_answers.rs
@@ -1,8 +1,8 @@
 //! Writes to the store whose answers are lost: done, done late or not done.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use async_std::task::block_on;
+use async_std::task::{self, block_on};
 use oleandertiller_standin::platform::LostWrite;
 use serde_json::json;
 
@@ -36,3 +36,36 @@
         }
     }
 }
+
+/// Guards against an upstream that is leaving and that the store shows as serving, because an earlier
+/// write of its node took effect late: a restarted node would use it again.
+#[test]
+fn late_write_replaces_a_newer_record() {
+    block_on(async {
+        let fleet = Fleet::start(2).await;
+        let node = &fleet.members[0];
+        let announce = async |sequence: u64, slots: u32, state: &str| {
+            let body = json!({
+                "service": "kettle", "address": node.upstream_addr().to_string(), "zone": "z1",
+                "version": "v1", "slots": slots, "state": state, "coldRemainingMs": 0,
+                "sequence": sequence, "born": 1_000,
+            });
+            node.put("/api/instances/i-0", body.to_string().as_bytes()).await
+        };
+        let record =
+            || fleet.store.get("mesh/nodes/node-0").map(|record| record["upstream"].clone());
+        fleet.store.lose_answer("mesh/nodes/node-0", LostWrite::Late(LATE));
+        let lost = Instant::now();
+        assert_eq!(announce(1_001, 5, "ready").await, 200);
+        wait_for("second attempt", || record().filter(|upstream| upstream["slots"] == 5)).await;
+        assert!(lost.elapsed() < LATE, "the write took effect before the next one");
+        assert_eq!(announce(1_002, 5, "draining").await, 200);
+        let is_draining = || record().filter(|upstream| upstream["stage"] == "draining");
+        wait_for("record of the drain", is_draining).await;
+        assert!(lost.elapsed() < LATE, "the write took effect before the next one");
+        let is_replaced = || record().filter(|upstream| upstream["stage"] == "serving");
+        wait_for("late write", is_replaced).await;
+        task::sleep(Duration::from_secs(2)).await;
+        assert!(is_draining().is_some(), "{:?}", record());
+    });
+}
