Limit the requests to a cold upstream also while no configuration is known

Cause: the rate comes from the configuration; without one it was None, which the admission queue took for no limit. Besides, the rate was looked up only when an announcement arrived.

ColdRate now distinguishes an unknown rate, no limit and a limit. An unknown rate gives two requests a second, and the rate is updated with each change of the deployment.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -26,6 +26,9 @@
 /// allow.
 const COLD_BURST_SECONDS: f64 = 0.5;
 
+/// Requests per second to a cold upstream whose rate is unknown: few enough for any upstream.
+const UNKNOWN_COLD_RATE: f64 = 2.0;
+
 /// Share of the slots up to which requests start here while other owners may have capacity: some
 /// upstreams become slow when they are nearly full.
 const SOFT_LIMIT_SHARE: f64 = 0.8;
@@ -173,11 +176,32 @@
     Refuse(Ticket, ErrorKind),
 }
 
+/// Requests per second that the configuration allows to a cold upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum ColdRate {
+    /// No configuration is known, or it does not contain the service.
+    #[default]
+    Unknown,
+    /// The configuration sets no limit.
+    Unlimited,
+    /// The configuration sets this limit.
+    Limited(f64),
+}
+
+impl ColdRate {
+    fn per_second(self) -> Option<f64> {
+        match self {
+            Self::Unknown => Some(UNKNOWN_COLD_RATE),
+            Self::Unlimited => None,
+            Self::Limited(per_second) => Some(per_second),
+        }
+    }
+}
+
 /// Limit on the requests to a cold upstream.
 #[derive(Clone, Debug)]
 struct ColdRateLimit {
     bucket: TokenBucket,
-    until: Instant,
     /// Minimum slowness seen since it is cold, in percent: all work of a cold upstream is slow.
     min_slowness: Option<u32>,
 }
@@ -187,6 +211,8 @@
 pub struct AdmissionQueue {
     slots: u32,
     closed_reason: Option<ErrorKind>,
+    /// Time until which the upstream is cold, whether its requests are limited or not.
+    cold_until: Option<Instant>,
     cold: Option<ColdRateLimit>,
     limit: RequestLimit,
     running: u32,
@@ -209,6 +235,7 @@
         Self {
             slots: 0,
             closed_reason: Some(ErrorKind::NoUpstream),
+            cold_until: None,
             cold: None,
             limit: RequestLimit::default(),
             running: 0,
@@ -232,21 +259,24 @@
     }
 
     /// Limits the rate of requests to an upstream that stays cold for `cold_for`.
-    pub fn set_cold_limit(&mut self, cold_for: Duration, per_second: Option<f64>, now: Instant) {
-        let Some(per_second) = per_second.filter(|_| !cold_for.is_zero()) else {
+    pub fn set_cold_limit(&mut self, cold_for: Duration, rate: ColdRate, now: Instant) {
+        self.cold_until = (!cold_for.is_zero()).then(|| now + cold_for.min(MAX_COLD_TIME));
+        self.set_cold_rate(rate, now);
+    }
+
+    /// Changes the rate of requests to the upstream while it is cold.
+    pub fn set_cold_rate(&mut self, rate: ColdRate, now: Instant) {
+        let is_cold = self.cold_until.is_some_and(|until| now < until);
+        let Some(per_second) = rate.per_second().filter(|_| is_cold) else {
             self.cold = None;
             return;
         };
-        let until = now + cold_for.min(MAX_COLD_TIME);
         let burst = (per_second * COLD_BURST_SECONDS).max(1.0);
         match &mut self.cold {
-            Some(cold) => {
-                cold.until = until;
-                cold.bucket.set_rate(per_second, burst, now);
-            }
+            Some(cold) => cold.bucket.set_rate(per_second, burst, now),
             None => {
                 let bucket = TokenBucket::full(per_second, burst, now);
-                self.cold = Some(ColdRateLimit { bucket, until, min_slowness: None });
+                self.cold = Some(ColdRateLimit { bucket, min_slowness: None });
             }
         }
     }
@@ -496,7 +526,8 @@
     /// Returns why no request may start now although a slot is free, if so: an upstream that is
     /// cold or has named a limit accepts only so many requests per second.
     fn check_rates(&mut self, now: Instant) -> Option<ErrorKind> {
-        if self.cold.as_ref().is_some_and(|cold| now >= cold.until) {
+        if self.cold_until.is_some_and(|until| now >= until) {
+            self.cold_until = None;
             self.cold = None;
         }
         if self.cold.as_mut().is_some_and(|cold| !cold.bucket.has_token(now)) {
--- a/crates/mesh/tests/mesh/admission_queue.rs
+++ b/crates/mesh/tests/mesh/admission_queue.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use oleandertiller_mesh::admission_queue::{
-    Admission, AdmissionQueue, AdmissionRequest, Dequeued, PriorityClass, UpstreamLoad,
+    Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass, UpstreamLoad,
 };
 use oleandertiller_model::ErrorKind;
 use proptest::prelude::*;
@@ -122,7 +122,7 @@
     assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
     assert!(matches!(queue.admit(hedge, now), Admission::Refuse(_)));
     let mut queue = self::queue(4);
-    queue.set_cold_limit(Duration::from_secs(3), Some(5.0), now);
+    queue.set_cold_limit(Duration::from_secs(3), ColdRate::Limited(5.0), now);
     assert_eq!(queue.admit(hedge, now), Admission::Refuse(ErrorKind::Cold));
 }
 
@@ -180,7 +180,7 @@
     ) {
         let start = Instant::now();
         let (mut now, mut queue) = (start, queue(slots));
-        queue.set_cold_limit(Duration::from_secs(3), Some(f64::from(rate)), start);
+        queue.set_cold_limit(Duration::from_secs(3), ColdRate::Limited(f64::from(rate)), start);
         let mut running = 0_u32;
         let mut waiting = std::collections::HashSet::new();
         let mut starts = Vec::new();
@@ -241,7 +241,7 @@
 fn cold_upstream_has_normal_periods() {
     let now = Instant::now();
     let mut queue = queue(6);
-    queue.set_cold_limit(Duration::from_secs(3), Some(100.0), now);
+    queue.set_cold_limit(Duration::from_secs(3), ColdRate::Limited(100.0), now);
     queue.on_load(load(200), now);
     assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
     queue.on_load(load(1_000), now);
@@ -250,7 +250,7 @@
     queue.on_load(load(210), later);
     assert_eq!(queue.admit(request(later, 0), later), Admission::Run);
     // Once it is warm, the usual service time applies again.
-    queue.set_cold_limit(Duration::ZERO, Some(100.0), later);
+    queue.set_cold_limit(Duration::ZERO, ColdRate::Limited(100.0), later);
     assert_eq!(queue.admit(request(later, 0), later), Admission::Refuse(ErrorKind::Overloaded));
 }
 
@@ -277,7 +277,7 @@
 fn cold_upstream_accepts_a_burst() {
     let start = Instant::now();
     let mut queue = queue(50);
-    queue.set_cold_limit(Duration::from_secs(3), Some(12.0), start);
+    queue.set_cold_limit(Duration::from_secs(3), ColdRate::Limited(12.0), start);
     let mut runs = Vec::new();
     for millis in 0..3_000 {
         let now = start + Duration::from_millis(millis);
@@ -302,7 +302,7 @@
 fn cold_upstream_is_taken_for_a_limited_one() {
     let now = Instant::now();
     let mut queue = queue(8);
-    queue.set_cold_limit(Duration::from_secs(3), Some(2.0), now);
+    queue.set_cold_limit(Duration::from_secs(3), ColdRate::Limited(2.0), now);
     assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
     let slow = UpstreamLoad { running: 1, waiting: 0, slots: 8, slowness: Some(900) };
     queue.on_load(slow, now);
@@ -315,6 +315,45 @@
 fn cold_time_without_end_is_accepted() {
     let now = Instant::now();
     let mut queue = queue(6);
-    queue.set_cold_limit(Duration::MAX, Some(5.0), now);
+    queue.set_cold_limit(Duration::MAX, ColdRate::Limited(5.0), now);
     assert_eq!(queue.admit(request(now, 0), now), Admission::Run);
 }
+
+/// Returns the number of requests that start in each second while as many arrive as possible; `change`
+/// is called before each millisecond.
+fn starts_per_second(
+    queue: &mut AdmissionQueue,
+    start: Instant,
+    seconds: u64,
+    mut change: impl FnMut(&mut AdmissionQueue, u64, Instant),
+) -> Vec<usize> {
+    let mut starts = vec![0; seconds as usize];
+    for millis in 0..seconds * 1_000 {
+        let now = start + Duration::from_millis(millis);
+        change(queue, millis, now);
+        if queue.admit(request(now, 0), now) == Admission::Run {
+            starts[millis as usize / 1_000] += 1;
+            queue.release(None);
+        }
+    }
+    starts
+}
+
+/// Guards against a cold upstream without any limit because no configuration is known, and against a
+/// limit that is not replaced when one becomes known.
+#[test]
+fn unknown_cold_rate_is_taken_for_no_limit() {
+    let start = Instant::now();
+    let mut queue = queue(6);
+    queue.set_cold_limit(Duration::from_secs(5), ColdRate::Unknown, start);
+    let starts = starts_per_second(&mut queue, start, 7, |queue, millis, now| match millis {
+        2_000 => queue.set_cold_rate(ColdRate::Limited(10.0), now),
+        4_000 => queue.set_cold_rate(ColdRate::Unlimited, now),
+        4_500 => queue.set_cold_rate(ColdRate::Limited(10.0), now),
+        _ => {}
+    });
+    assert!(starts[..2].iter().all(|starts| (1..=3).contains(starts)), "{starts:?}");
+    assert!(starts[2..4].iter().all(|starts| (9..=15).contains(starts)), "{starts:?}");
+    assert!(starts[4] > 400, "{starts:?}");
+    assert!(starts[5..].iter().all(|starts| *starts == 1_000), "{starts:?}");
+}
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -6,7 +6,8 @@
 };
 
 use oleandertiller_mesh::admission_queue::{
-    Admission, AdmissionQueue, AdmissionRequest, Dequeued, PriorityClass, Ticket, UpstreamLoad,
+    Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass, Ticket,
+    UpstreamLoad,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -132,7 +133,7 @@
     let mut queues = vec![AdmissionQueue::default(); upstreams];
     for queue in &mut queues {
         queue.set_capacity(12, None);
-        queue.set_cold_limit(cold_for, Some(rate), start);
+        queue.set_cold_limit(cold_for, ColdRate::Limited(rate), start);
     }
     let mut slowness = vec![1.0; upstreams];
     let mut ends: BinaryHeap<std::cmp::Reverse<(Instant, usize)>> = BinaryHeap::new();
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -7,7 +7,7 @@
 };
 
 use oleandertiller_mesh::{
-    admission_queue::OwnerState,
+    admission_queue::{ColdRate, OwnerState},
     config::{Config, Route},
     latency_estimate::LatencyEstimate,
     leadership::{Leadership, ProcessId},
@@ -329,9 +329,13 @@
         versions
     }
 
-    /// Returns the requests per second that a cold upstream of a service can handle.
-    pub fn cold_rate(&self, service: &ServiceName) -> Option<f64> {
-        self.config.as_ref()?.services.get(service)?.cold_per_second
+    /// Returns the requests per second that the configuration allows to a cold upstream.
+    pub fn cold_rate(&self, service: &ServiceName) -> ColdRate {
+        let services = self.config.as_ref().map(|cfg| &cfg.services);
+        let Some(service) = services.and_then(|services| services.get(service)) else {
+            return ColdRate::Unknown;
+        };
+        service.cold_per_second.map_or(ColdRate::Unlimited, ColdRate::Limited)
     }
 }
 
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -259,7 +259,9 @@
             if let Some(latest) = inner.upstream.latest() {
                 let order = deployment.orders.get(&latest.service);
                 let order = order.map(|received| (received.revision, received.at));
+                let cold_rate = deployment.cold_rate(&latest.service);
                 inner.exposure.set_order(order);
+                inner.queue.set_cold_rate(cold_rate, self.clock.now());
             }
             let closed_reason = self.closed_reason(&inner, &deployment);
             let slots = inner.upstream.latest().map_or(0, |latest| latest.slots);
--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -116,11 +116,16 @@
 
     /// Sends an announcement of the upstream and returns the response status, 0 without a response.
     pub async fn announce(&mut self, state: &str) -> u16 {
+        self.announce_cold(state, Duration::ZERO).await
+    }
+
+    /// Sends an announcement of an upstream that stays cold for a time; returns the response status.
+    pub async fn announce_cold(&mut self, state: &str, cold_for: Duration) -> u16 {
         self.sequence += 1;
         let body = json!({
             "service": self.service, "address": self.upstream_addr().to_string(), "zone": "z1",
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0,
-            "sequence": self.sequence, "born": self.born,
+            "version": "v1", "slots": 4, "state": state,
+            "coldRemainingMs": cold_for.as_millis() as u64, "sequence": self.sequence, "born": self.born,
         });
         let path = format!("/api/instances/{}", self.upstream.id());
         self.put(&path, body.to_string().as_bytes()).await
