Tell the age of relayed changes, and ask the store when they are too old

Cause: one node of a zone watches the store and feeds the others. A watch is silent if nothing changes and also if the store is out of reach; the source said 'nothing new' for up to 2.8 s, until the renewal of its lease had failed. It also went on while a new listing of the keys failed.

A node now knows up to which moment it has all changes, and replies carry that age. A source that is too old feeds nobody; a node that is too old asks the store itself. A test sums the constants.

--- a/crates/mesh/tests/mesh/change_feed.rs
+++ b/crates/mesh/tests/mesh/change_feed.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use oleandertiller_mesh::{
-    change_feed::{ChangeLog, ChangesSince, Position, SourceSelector},
+    change_feed::{
+        CONFIRM_INTERVAL, ChangeLog, ChangesSince, Currency, MAX_FED_AGE, MAX_SOURCE_AGE, Position,
+        SourceSelector, WATCH_PAUSE, longest_delay,
+    },
     members::{Members, NodeRecord},
 };
 
@@ -127,3 +130,77 @@
     assert_eq!(log.position(), Position { era: 2, revision: 30 }, "changes of an earlier era");
     assert!(at(1_000) < log.position());
 }
+
+/// Time within which users expect a confirmed configuration to be in force.
+const CONFIG_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Time that a call to the store takes at a node whose machine gets its processor late.
+const STORE_CALL: Duration = Duration::from_millis(300);
+
+/// Guards against constants that together exceed the time for a configuration, and against a source
+/// that is too old for others in each pause between two watches.
+#[test]
+fn ages_exceed_the_time_for_a_configuration() {
+    assert!(longest_delay(STORE_CALL) < CONFIG_DEADLINE, "{:?}", longest_delay(STORE_CALL));
+    assert!(WATCH_PAUSE + CONFIRM_INTERVAL < MAX_SOURCE_AGE);
+    assert!(MAX_SOURCE_AGE < MAX_FED_AGE);
+}
+
+/// Guards against a source that has lost the store and goes on saying that nothing has changed.
+#[test]
+fn silent_watch_is_taken_for_no_changes() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut currency = Currency::default();
+    assert!(!currency.may_feed(at(0)), "nothing is known yet");
+    currency.on_watch_answered(at(0));
+    currency.on_watch_sent(at(100));
+    for ms in (500..5_000).step_by(400) {
+        currency.on_confirmed(at(ms));
+        assert!(currency.may_feed(at(ms + 100)));
+    }
+    // The last confirmation was sent 4.9 s after the start; then the store is out of reach.
+    assert!(currency.may_feed(at(6_200)));
+    assert!(!currency.may_feed(at(6_300)));
+}
+
+/// Guards against a confirmation that counts although no watch was waiting when it was sent, as in the
+/// pause between two watches, while the keys are listed or after a watch was lost.
+#[test]
+fn reachable_store_is_taken_for_a_waiting_watch() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut currency = Currency::default();
+    currency.on_watch_answered(at(0));
+    currency.on_confirmed(at(400));
+    assert_eq!(currency.age(at(800)), Some(Duration::from_millis(800)));
+    currency.on_watch_sent(at(800));
+    // Sent before the watch, answered after it.
+    currency.on_confirmed(at(700));
+    assert_eq!(currency.age(at(900)), Some(Duration::from_millis(900)));
+    currency.on_watch_failed();
+    currency.on_confirmed(at(1_200));
+    assert!(!currency.may_feed(at(1_400)));
+}
+
+/// Guards against a reply that was on its way for long, or whose source was paused after writing it,
+/// and that counts from its arrival.
+#[test]
+fn late_reply_is_taken_for_a_new_one() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let ms = Duration::from_millis;
+    let mut fed = Currency::default();
+    assert_eq!(fed.reply_wait(at(0)), None);
+    fed.on_watch_answered(at(0));
+    // The source had waited 300 ms and knew the changes until 200 ms before that.
+    fed.on_reply(at(100), ms(300), ms(200));
+    assert_eq!(fed.age(at(1_000)), Some(ms(800)));
+    let wait = fed.reply_wait(at(1_000)).unwrap();
+    assert_eq!(wait.in_all, MAX_FED_AGE - ms(800));
+    assert!(wait.at_source < wait.in_all);
+    assert_eq!(fed.reply_wait(at(1_600)), None);
+    // An older reply takes nothing back.
+    fed.on_reply(at(50), ms(10), ms(500));
+    assert_eq!(fed.age(at(1_000)), Some(ms(800)));
+}
--- a/src/mesh/change_feed.rs
+++ b/src/mesh/change_feed.rs
@@ -2,32 +2,32 @@
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use event_listener::Event as Wake;
-use oleandertiller_mesh::change_feed::{ChangeLog, ChangesSince, Position};
+use oleandertiller_mesh::change_feed::{
+    ChangeLog, ChangesSince, Currency, MAX_CHANGE_WAIT, MAX_FED_AGE, Position, ReplyWait,
+};
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::Event;
 use serde::{Deserialize, Serialize};
 
 use crate::node::timer::Timers;
 
-/// Path of the `h2` stream on which a node requests changes. A node of an earlier release, which
-/// does not know the store's eras, uses another path and so watches the store itself.
-pub const CHANGES_PATH: &str = "/mesh/changes";
+/// Path of the `h2` stream on which a node requests changes. A node of an earlier release, whose
+/// replies do not tell their age, uses another path and so watches the store itself.
+pub const CHANGES_PATH: &str = "/mesh/changes/2";
 
-/// Maximum time for which a request waits for changes. It bounds how long the loss of a source goes
-/// unnoticed: a configuration must be active two seconds after its acknowledgement.
-const MAX_CHANGE_WAIT: Duration = Duration::from_millis(800);
+/// Time after the last request for changes for which a node confirms that the store is in reach.
+const IN_USE_TIME: Duration = Duration::from_secs(2);
 
 /// Maximum time for which a request waits while the source retries the store. A store that rejects
 /// the source may still serve the requesting node.
-const RETRY_WAIT: Duration = Duration::from_millis(600);
+const RETRY_WAIT: Duration = Duration::from_millis(300);
 
-/// Timeout of a request for changes: the wait at the source, plus the time until its node gets a
-/// processor.
-pub const CHANGES_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Interval at which a waiting request checks the age of the source's knowledge.
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum size of a relayed value, in bytes. For larger ones only the key is sent, since the store
 /// has a faster network than an instance.
@@ -40,6 +40,8 @@
 pub struct ChangeRequest {
     /// Last position that the requesting node has.
     pub after: Position,
+    /// Longest time to wait for changes.
+    pub max_wait: Duration,
 }
 
 /// A change as relayed to another node.
@@ -67,14 +69,30 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChangeReply {
-    /// The changes, empty if the wait timed out, and the position for the next request.
-    Changes(Vec<RelayedChange>, Position),
+    /// The changes, empty if the wait timed out.
+    Changes(RelayedChanges),
     /// The changes after that position have been compacted away, or it is in an earlier era.
     Forgotten,
-    /// This node does not receive changes from the store itself, or is in an earlier era.
+    /// This node does not receive changes from the store itself at the moment, or is in an earlier
+    /// era.
     NoSource,
 }
 
+/// Changes in the store as another node knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct RelayedChanges {
+    /// The changes in order.
+    pub changes: Vec<RelayedChange>,
+    /// Position for the next request.
+    pub position: Position,
+    /// Time from the arrival of the request at the source to the reply.
+    pub waited: Duration,
+    /// Age of the source's knowledge in the reply.
+    pub age: Duration,
+}
+
 /// Where a node gets its changes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FeedSource {
@@ -89,6 +107,9 @@
 struct FeedState {
     change_log: ChangeLog<RelayedChange>,
     feed_source: FeedSource,
+    currency: Currency,
+    /// When another node last requested changes.
+    requested_at: Option<Instant>,
 }
 
 /// The latest changes, served to the other nodes of the zone.
@@ -102,6 +123,8 @@
         let state = FeedState {
             change_log: ChangeLog::new(Position::default()),
             feed_source: FeedSource::Peer,
+            currency: Currency::default(),
+            requested_at: None,
         };
         Self { state: Mutex::new(state), wake: Wake::new() }
     }
@@ -122,6 +145,24 @@
         }
     }
 
+    /// Updates up to which moment this node knows the changes.
+    pub fn update_currency(&self, f: impl FnOnce(&mut Currency)) {
+        f(&mut self.lock().currency);
+    }
+
+    /// Returns how long this node may wait for its source, or `None` if it has to ask the store.
+    pub fn reply_wait(&self, now: Instant) -> Option<ReplyWait> {
+        self.lock().currency.reply_wait(now)
+    }
+
+    /// Returns whether other nodes rely on this one.
+    pub fn is_in_use(&self, now: Instant) -> bool {
+        let state = self.lock();
+        let requested_at = state.requested_at;
+        state.feed_source != FeedSource::Peer
+            && requested_at.is_some_and(|at| now.saturating_duration_since(at) < IN_USE_TIME)
+    }
+
     /// Adds the changes up to `position`.
     pub fn add(&self, events: &[Event], position: Position) {
         let relayed = events.iter().map(|event| (event.revision(), RelayedChange::new(event)));
@@ -139,11 +180,19 @@
         timers: &Timers,
     ) -> ChangeReply {
         let started = clock.now();
+        self.lock().requested_at = Some(started);
+        let max_wait = request.max_wait.min(MAX_CHANGE_WAIT);
         loop {
             let wake = self.wake.listen();
             let wait = {
                 let state = self.lock();
-                let waited = clock.now().saturating_duration_since(started);
+                let now = clock.now();
+                let waited = now.saturating_duration_since(started);
+                let reply = |changes, position| {
+                    // Before the first watch is answered, nothing is known.
+                    let age = state.currency.age(now).unwrap_or(MAX_FED_AGE);
+                    ChangeReply::Changes(RelayedChanges { changes, position, waited, age })
+                };
                 match state.feed_source {
                     FeedSource::Peer => return ChangeReply::NoSource,
                     FeedSource::Retrying if waited >= RETRY_WAIT => return ChangeReply::NoSource,
@@ -152,13 +201,17 @@
                         ChangesSince::Compacted => return ChangeReply::Forgotten,
                         ChangesSince::Outdated => return ChangeReply::NoSource,
                         ChangesSince::Changes(changes, to) if !changes.is_empty() => {
-                            return ChangeReply::Changes(changes, to);
+                            return reply(changes, to);
                         }
-                        _ if waited >= MAX_CHANGE_WAIT => {
-                            let position = state.change_log.position().max(request.after);
-                            return ChangeReply::Changes(Vec::new(), position);
+                        _ if !state.currency.may_feed(now) => return ChangeReply::NoSource,
+                        _ if waited >= max_wait => {
+                            return reply(
+                                Vec::new(),
+                                state.change_log.position().max(request.after),
+                            );
                         }
-                        _ => MAX_CHANGE_WAIT,
+                        // The source may lose the store meanwhile.
+                        _ => max_wait.min(waited + AGE_CHECK_INTERVAL),
                     },
                 }
             };
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Receiver;
 use oleandertiller_mesh::{
+    change_feed::CONFIRM_INTERVAL,
     lease::{granted_ttl, lease_ttl, renewal_interval},
     members::NodeRecord,
 };
@@ -60,7 +61,7 @@
             let kept = match now >= renew_at || self.forget_if_restored() {
                 true => {
                     let kept = self.renew().await && self.write().await;
-                    renew_at = now + renewal_interval(self.lease_ttl);
+                    renew_at = now + self.renewal_interval(now);
                     kept
                 }
                 false => self.write().await,
@@ -77,6 +78,16 @@
         }
     }
 
+    /// Returns the time until the next renewal; with it, a node that feeds others also confirms that
+    /// the store is in reach.
+    fn renewal_interval(&self, now: Instant) -> Duration {
+        let interval = renewal_interval(self.lease_ttl);
+        match self.shared.change_feed.is_in_use(now) {
+            true => interval.min(CONFIRM_INTERVAL),
+            false => interval,
+        }
+    }
+
     /// Pauses after a failed call; returns when the next one is due.
     async fn pause(&self) -> Instant {
         let now = self.shared.clock.now();
@@ -119,8 +130,13 @@
     /// Renews the lease or obtains a new one; returns whether there is one.
     async fn renew(&mut self) -> bool {
         if let Some(lease) = self.lease {
+            let sent = self.shared.clock.now();
             match self.shared.store.call(&Call::Renew { lease }).await {
-                Ok(Answer::Leased { .. }) if !self.forget_if_restored() => return true,
+                Ok(Answer::Leased { .. }) if !self.forget_if_restored() => {
+                    let change_feed = &self.shared.change_feed;
+                    change_feed.update_currency(|currency| currency.on_confirmed(sent));
+                    return true;
+                }
                 Ok(Answer::Leased { .. }) => {}
                 Ok(Answer::NoLease) => {
                     log::info!(lease = lease; "lease has expired");
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -9,7 +9,7 @@
 
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
-    change_feed::{Position, SourceSelector},
+    change_feed::{Position, SourceSelector, WATCH_PAUSE},
     members::NodeRecord,
     rollout::RolloutPlan,
     upstream::Announcement,
@@ -23,7 +23,7 @@
 
 use super::{
     change_feed::{
-        CHANGES_PATH, CHANGES_TIMEOUT, ChangeReply, ChangeRequest, FeedSource, RelayedChange,
+        CHANGES_PATH, ChangeReply, ChangeRequest, FeedSource, RelayedChange, RelayedChanges,
     },
     daemon::Shared,
     deployment_state::ReceivedOrder,
@@ -48,10 +48,6 @@
 /// Maximum wait of a watch after the source failed, so that another source is tried soon.
 const NO_SOURCE_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Pause between two watches, in which further changes accumulate, since each watch has a cost. A
-/// configuration must be active two seconds after its acknowledgement.
-const WATCH_PAUSE: Duration = Duration::from_millis(1_000);
-
 /// Pause between two watches during a rollout, where a bad version receives requests until the
 /// change that stops it arrives.
 const ROLLOUT_WATCH_PAUSE: Duration = Duration::from_millis(400);
@@ -116,6 +112,9 @@
 
     /// Reads all keys; returns the position from which to watch, or `None` if the store fails.
     async fn list(&mut self) -> Option<Position> {
+        // Until the keys are listed, this node does not know what has changed.
+        self.shared.change_feed.set_feed_source(FeedSource::Retrying);
+        let listed_from = self.shared.clock.now();
         let mut all_items = Vec::new();
         let mut after = None;
         let mut first_position = None;
@@ -156,7 +155,9 @@
         self.adopt().await;
         self.shared.store_read.set(true);
         self.shared.update_admission();
-        self.shared.change_feed.restart(position);
+        let change_feed = &self.shared.change_feed;
+        change_feed.update_currency(|currency| currency.on_watch_answered(listed_from));
+        change_feed.restart(position);
         Some(position)
     }
 
@@ -201,14 +202,20 @@
         let shared = self.shared.clone();
         shared.change_feed.set_feed_source(FeedSource::Peer);
         let peer = source.node.as_str();
-        let until = shared.clock.now() + CHANGES_TIMEOUT;
-        let request = codec::encode(&ChangeRequest { after });
+        let requested = shared.clock.now();
+        let wait = shared.change_feed.reply_wait(requested)?;
+        let until = requested + wait.in_all;
+        let request = codec::encode(&ChangeRequest { after, max_wait: wait.at_source });
         let answer = shared.client.request(source.inner, CHANGES_PATH, request, until).await;
         match answer.map(|bytes| codec::decode::<ChangeReply>(&bytes)) {
-            Ok(Ok(ChangeReply::Changes(changes, position))) => {
+            Ok(Ok(ChangeReply::Changes(reply))) => {
+                let RelayedChanges { changes, position, waited, age } = reply;
                 let events = self.read_omitted_values(changes, position.era).await?;
                 self.set_answering(true);
                 self.apply(events, position).await;
+                shared
+                    .change_feed
+                    .update_currency(|currency| currency.on_reply(requested, waited, age));
                 Some(position)
             }
             Ok(Ok(other)) => {
@@ -270,6 +277,8 @@
         let wait = if self.is_unreachable() { UNREACHABLE_WAIT } else { wait };
         let call = Call::Watch { prefix: ALL_KEYS.to_owned(), after: revision, wait };
         let shared = self.shared.clone();
+        let sent = shared.clock.now();
+        shared.change_feed.update_currency(|currency| currency.on_watch_sent(sent));
         let pending = shared.store.call_in_era(&call);
         let answer = match select(pin!(pending), pin!(shared.store_failure())).await {
             Either::Left((answer, _)) => answer,
@@ -280,6 +289,11 @@
             }
         };
         self.set_answering(answer.is_ok() && !matches!(answer, Ok((Answer::Busy, _))));
+        let now = shared.clock.now();
+        shared.change_feed.update_currency(|currency| match &answer {
+            Ok((Answer::Changes { .. }, _)) => currency.on_watch_answered(now),
+            _ => currency.on_watch_failed(),
+        });
         self.set_feed_source();
         match answer {
             // Whatever it says refers to other changes than those that this node has.
--- a/tests/mesh/processes.rs
+++ b/tests/mesh/processes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::{self, block_on};
-use oleandertiller_standin::platform::Outage;
+use oleandertiller_standin::{platform::Outage, proxy::ProxyFaults};
 
 use crate::fleet::{Fleet, Response, STEP_TIMEOUT, StdoutReader, call, config, wait_for};
 
@@ -315,6 +315,35 @@
     });
 }
 
+/// Guards against nodes that believe their source that nothing has changed, while it has lost the
+/// store without noticing.
+#[test]
+fn source_without_the_store_hides_changes() {
+    block_on(async {
+        let fleet = Fleet::start_proxied(3).await;
+        let store_link = &fleet.members[0].links.as_ref().unwrap().0;
+        let faults = [
+            ProxyFaults { freeze: true, ..ProxyFaults::default() },
+            ProxyFaults { lose_down: true, ..ProxyFaults::default() },
+        ];
+        let mut version = 3;
+        // The time until the source notices depends on the time of its next renewal.
+        for round in 0..6 {
+            store_link.set_faults(faults[round % 2].clone());
+            task::sleep(Duration::from_millis(30)).await;
+            version += 2;
+            let prefix = format!("/new-{version}/");
+            fleet.store.put("op/config", &config(version, Some(&prefix)));
+            let written = Instant::now();
+            for member in 1..3 {
+                wait_for_route(&fleet, member, &prefix, written, &format!("round {round}")).await;
+            }
+            store_link.set_faults(ProxyFaults::default());
+            task::sleep(Duration::from_millis(2_700 + 170 * round as u64)).await;
+        }
+    });
+}
+
 /// Guards against a configuration that takes more than 2 s to apply, also right after a silent
 /// outage of the store and after the store dropped its history.
 #[test]
