Count runs that are abandoned as evidence on a version; play whole deployments as real processes

Cause: a hedged request drops its slow attempt when the second upstream answers, before the outcome is recorded, so that the slow runs left no evidence.

A dropped run now records the time that it had taken; the assessment counts it as slow from about twice the old version's upper quartile on, for both versions alike, and the owner's veto follows.

--- a/crates/mesh/src/rollout/assessment.rs
+++ b/crates/mesh/src/rollout/assessment.rs
@@ -21,6 +21,10 @@
 /// it took about three times as long.
 const SLOW_BUCKET_OFFSET: usize = 3;
 
+/// The same for a run that was abandoned by then, as when a hedged request has an answer from
+/// elsewhere: it would have taken longer, and few runs of a good version last so long.
+const ABANDONED_BUCKET_OFFSET: usize = 2;
+
 /// Minimum failure rate assumed for the old version.
 const MIN_FAILURE_RATE: f64 = 0.015;
 
@@ -57,6 +61,26 @@
     /// Good answers by bucket of the normalized service time.
     #[serde(rename = "run-times")]
     pub service_times: Vec<u32>,
+    /// Runs for whose end nobody waited, by bucket of the time that they had taken.
+    #[serde(default)]
+    pub abandoned: Vec<u32>,
+}
+
+/// Adds counts by bucket to others.
+fn add_buckets(sums: &mut Vec<u32>, counts: &[u32]) {
+    sums.resize(BUCKET_COUNT, 0);
+    sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+}
+
+/// Returns the counts by bucket that were added since `before`.
+fn buckets_since(now: &[u32], before: &[u32]) -> Vec<u32> {
+    let before = before.iter().chain(std::iter::repeat(&0));
+    now.iter().zip(before).map(|(now, before)| now.saturating_sub(*before)).collect()
+}
+
+/// Returns the sum of the counts from a bucket on.
+fn sum_from(counts: &[u32], bucket: usize) -> u64 {
+    counts.iter().skip(bucket).map(|count| u64::from(*count)).sum()
 }
 
 impl Counts {
@@ -73,33 +97,45 @@
         }
     }
 
+    /// Records a run for whose end nobody waited; `time` is what it had taken, divided by the slowness
+    /// of its machine.
+    pub fn record_abandoned(&mut self, time: Duration) {
+        self.abandoned.resize(BUCKET_COUNT, 0);
+        self.abandoned[bucket(time)] += 1;
+    }
+
     /// Adds the counts of another owner.
     pub fn merge(&mut self, other: &Self) {
         self.ended += other.ended;
         self.failed += other.failed;
-        self.service_times.resize(BUCKET_COUNT, 0);
-        for (sum, count) in self.service_times.iter_mut().zip(&other.service_times) {
-            *sum += count;
-        }
+        add_buckets(&mut self.service_times, &other.service_times);
+        add_buckets(&mut self.abandoned, &other.abandoned);
     }
 
     /// Returns what was added since `before`.
     fn since(&self, before: &Self) -> Self {
-        let count = |bucket: usize| before.service_times.get(bucket).copied().unwrap_or(0);
-        let service_times = self.service_times.iter().enumerate();
         Self {
             ended: self.ended.saturating_sub(before.ended),
             failed: self.failed.saturating_sub(before.failed),
-            service_times: service_times.map(|(at, now)| now.saturating_sub(count(at))).collect(),
+            service_times: buckets_since(&self.service_times, &before.service_times),
+            abandoned: buckets_since(&self.abandoned, &before.abandoned),
         }
     }
 
     fn timed_answers(&self) -> u64 {
-        self.service_times.iter().map(|count| u64::from(*count)).sum()
+        sum_from(&self.service_times, 0)
     }
 
     fn slower_than(&self, bucket: usize) -> u64 {
-        self.service_times.iter().skip(bucket).map(|count| u64::from(*count)).sum()
+        sum_from(&self.service_times, bucket)
+    }
+
+    /// Returns the number of slow runs, and that of all runs of which it is known whether they were
+    /// slow; `usual` is the bucket of the old version's upper quartile.
+    fn slow_runs(&self, usual: usize) -> (u64, u64) {
+        let abandoned = sum_from(&self.abandoned, usual + ABANDONED_BUCKET_OFFSET);
+        let slow = self.slower_than(usual + SLOW_BUCKET_OFFSET);
+        (slow + abandoned, self.timed_answers() + abandoned)
     }
 
     /// Returns the bucket of the third quartile of the service times.
@@ -133,6 +169,12 @@
         routes.entry(route.clone()).or_default().record(service_time);
     }
 
+    /// Records a run for whose end nobody waited; `time` is what it had taken.
+    pub fn record_abandoned(&mut self, version: &VersionName, route: &Arc<str>, time: Duration) {
+        let routes = self.0.entry(version.clone()).or_default();
+        routes.entry(route.clone()).or_default().record_abandoned(time);
+    }
+
     /// Returns the number of answers of one version, or of all.
     pub fn answers(&self, version: Option<&VersionName>) -> u64 {
         let versions = self.0.iter().filter(|(name, _)| version.is_none_or(|v| v == *name));
@@ -278,10 +320,11 @@
     let failures =
         ("failed", new.failed, new.ended, baseline.clamp(MIN_FAILURE_RATE, MAX_BASELINE_RATE));
     let slow = old.upper_quartile().filter(|_| old.timed_answers() >= 8).map(|bucket| {
-        let from = bucket + SLOW_BUCKET_OFFSET;
-        let baseline = rate(old.slower_than(from), old.timed_answers()) * 1.5;
+        let (old_slow, old_timed) = old.slow_runs(bucket);
+        let (new_slow, new_timed) = new.slow_runs(bucket);
+        let baseline = rate(old_slow, old_timed) * 1.5;
         let baseline = baseline.clamp(MIN_SLOW_RATE, MAX_BASELINE_RATE);
-        ("were far slower than before", new.slower_than(from), new.timed_answers(), baseline)
+        ("were far slower than before", new_slow, new_timed, baseline)
     });
     std::iter::once(failures).chain(slow)
 }
--- a/crates/mesh/tests/mesh/rollout.rs
+++ b/crates/mesh/tests/mesh/rollout.rs
@@ -113,6 +113,51 @@
     assert!(matches!(assessor.assess(&all, &canary, at(3.0)), Finding::Bad(_)));
 }
 
+/// Records `runs` runs of a version on one route, of which `slow` in 100 take six times as long; a run
+/// without an end after `hedged_ms` is abandoned in four of five cases, once the second upstream has
+/// answered.
+fn record_hedged(evidence: &mut Evidence, version: &str, slow: u64, runs: u64, hedged_ms: u64) {
+    let route: Arc<str> = "r".into();
+    let mut rng = StdRng::seed_from_u64(5);
+    for n in 0..runs {
+        let usual = rng.random_range(150..280);
+        let time = if n * 37 % 100 < slow { usual * 6 } else { usual };
+        let answered_elsewhere = hedged_ms + rng.random_range(150..280);
+        match time > answered_elsewhere && n % 5 != 0 {
+            true => {
+                let time = Duration::from_millis(answered_elsewhere);
+                evidence.record_abandoned(&v(version), &route, time);
+            }
+            false => {
+                evidence.record(&v(version), &route, Some(Duration::from_millis(time)));
+            }
+        }
+    }
+}
+
+/// Guards against a slow version that completes because its slow runs are abandoned when a hedged
+/// request has an answer, and so do not count.
+#[test]
+fn abandoned_runs_hide_a_slow_version() {
+    let mut slow = Evidence::default();
+    record_hedged(&mut slow, "v1", 0, 300, 350);
+    let mut good = slow.clone();
+    record_hedged(&mut slow, "v2", 35, 60, 350);
+    assert!(matches!(assess(&slow, &v("v2"), BAD_P_VALUE), Finding::Bad(_)));
+    record_hedged(&mut good, "v2", 0, 60, 350);
+    assert!(matches!(assess(&good, &v("v2"), BAD_P_VALUE), Finding::Good(_)));
+    // Both versions run on machines that are slow now and then.
+    let mut noisy = Evidence::default();
+    record_hedged(&mut noisy, "v1", 10, 300, 350);
+    record_hedged(&mut noisy, "v2", 10, 100, 350);
+    assert!(!matches!(assess(&noisy, &v("v2"), BAD_P_VALUE), Finding::Bad(_)));
+    // Runs that are abandoned early, as by clients that leave, say nothing of the version.
+    for _ in 0..50 {
+        good.record_abandoned(&v("v2"), &"r".into(), Duration::from_millis(90));
+    }
+    assert!(matches!(assess(&good, &v("v2"), BAD_P_VALUE), Finding::Good(60)));
+}
+
 /// Guards against a version that a new leader completes by answers from before it took over.
 #[test]
 fn new_leader_has_no_recent_answers() {
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -17,6 +17,9 @@
 
 use crate::http::{Call, Handler, Server, StopHandle, text};
 
+/// Ratio of the service time of a slow run to the usual one.
+const SLOW_FACTOR: u32 = 6;
+
 /// How the upstream handles requests.
 #[derive(Clone, Debug)]
 pub struct MeshUpstreamBehaviour {
@@ -24,6 +27,12 @@
     pub service_time: Duration,
     /// Status code of its responses.
     pub status: u16,
+    /// Share of the requests that it answers with status 500.
+    pub failure_share: f64,
+    /// Share of the requests on which it works several times as long.
+    pub slow_share: f64,
+    /// Until when it says that it is cold, in the responses to health checks.
+    pub cold_until: Option<Instant>,
     /// Whether it closes the connection after the work instead of responding.
     pub loses_responses: bool,
     /// Whether it never responds after the work.
@@ -46,6 +55,9 @@
         Self {
             service_time,
             status: 200,
+            failure_share: 0.0,
+            slow_share: 0.0,
+            cold_until: None,
             loses_responses: false,
             hangs: false,
             unhealthy: false,
@@ -74,6 +86,8 @@
     pub started: Instant,
     /// Whether the work was completed.
     pub finished: bool,
+    /// When it ended with a failure, or after several times the usual service time.
+    pub bad_at: Option<Instant>,
     /// Whether the upstream has ended on it.
     pub ended: bool,
 }
@@ -201,7 +215,14 @@
         if call.path() == "health" {
             let status =
                 if behaviour.unhealthy { StatusCode::ServiceUnavailable } else { StatusCode::Ok };
-            return Some(self.with_load(text(status, ""), &behaviour));
+            let mut res = self.with_load(text(status, ""), &behaviour);
+            let cold_for =
+                behaviour.cold_until.map(|at| at.saturating_duration_since(Instant::now()));
+            if let Some(cold_for) = cold_for.filter(|time| !time.is_zero()) {
+                let millis = cold_for.as_millis().to_string();
+                res.insert_header("Oleandertiller-Cold-Milliseconds", millis);
+            }
+            return Some(res);
         }
         let expected = call.header("Oleandertiller-Expected-Instance");
         if expected.is_some_and(|id| id != self.0.id) {
@@ -211,7 +232,9 @@
         let index = self.record_start(&call, &id);
         self.0.running.fetch_add(1, Ordering::Relaxed);
         let _running = RunningGuard(&self.0.running);
-        task::sleep(behaviour.service_time).await;
+        let is_slow = rand::random_bool(behaviour.slow_share);
+        let fails = rand::random_bool(behaviour.failure_share);
+        task::sleep(behaviour.service_time * if is_slow { SLOW_FACTOR } else { 1 }).await;
         let ends = behaviour.ends_on.as_ref() == Some(&lock(&self.0.runs)[index].target);
         if ends && let Some(stop) = self.0.stop.get() {
             lock(&self.0.runs)[index].ended = true;
@@ -221,11 +244,16 @@
         if behaviour.hangs {
             pending::<()>().await;
         }
-        lock(&self.0.runs)[index].finished = true;
+        {
+            let run = &mut lock(&self.0.runs)[index];
+            run.finished = true;
+            run.bad_at = (is_slow || fails).then(Instant::now);
+        }
         if behaviour.loses_responses {
             return None;
         }
-        let status = StatusCode::try_from(behaviour.status).unwrap_or(StatusCode::Ok);
+        let status = if fails { 500 } else { behaviour.status };
+        let status = StatusCode::try_from(status).unwrap_or(StatusCode::Ok);
         let mut res = text(status, format!("{} by {}", id, self.0.id));
         res.insert_header("Oleandertiller-Attempt-Id", id);
         res.insert_header("Oleandertiller-Response-Signature", format!("signed-{}", self.0.id));
@@ -247,6 +275,7 @@
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
             started: Instant::now(),
             finished: false,
+            bad_at: None,
             ended: false,
         };
         let mut runs = lock(&self.0.runs);
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -19,7 +19,7 @@
 pub const OFFER_PATH: &str = "/mesh/offer";
 
 /// Path of the `h2` requests with which a rollout's leader gets the report of an owner.
-pub const REPORT_PATH: &str = "/mesh/rollout-report";
+pub const REPORT_PATH: &str = "/mesh/rollout-report/2";
 
 /// Path of the `h2` requests with which owners tell each other which requests crash upstreams.
 pub const CRASHES_PATH: &str = "/mesh/crashes";
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -10,7 +10,7 @@
     rollout::{BAD_P_VALUE, Finding, assess},
     upstream::{Announcement, Incarnation, Stage},
 };
-use oleandertiller_model::{Clock, ErrorKind};
+use oleandertiller_model::{Clock, ErrorKind, ServiceName, VersionName};
 use oleandertiller_platform::header;
 
 use super::Owner;
@@ -53,6 +53,8 @@
         headers.set(header::EXPECTED_UPSTREAM, &*announcement.incarnation.id);
         let request = encode_request(&offer.method, &offer.target, &headers, &offer.body);
         let reused = pooled.reused;
+        let run =
+            RunGuard { owner: self, offer, version: &announcement.version, started, slowness };
         let work = exchange(pooled, &request, &offer.id, self.cfg.max_response_body_bytes);
         let result = self.timers.within(deadline, work).await;
         let now = self.clock.now();
@@ -76,12 +78,8 @@
         if let End::Answered(_) = end {
             self.on_completed(offer);
         }
-        self.record_outcome(
-            offer,
-            &announcement,
-            &end,
-            service_time.mul_f64(100.0 / f64::from(slowness.max(100))),
-        );
+        run.end();
+        self.record_outcome(offer, &announcement, &end, normalized(service_time, slowness));
         log::debug!(id = &*offer.id, reused = reused, slowness = slowness,
             route = &*offer.route, run_ms = service_time.as_millis() as u64;
             "upstream finished request");
@@ -204,26 +202,57 @@
                 inner.queue.record_outcome(result.is_none(), self.clock.now());
             }
         }
-        let rolling_out =
-            self.deployment().is_rolling_out(&announcement.service, &announcement.version);
+        self.lock().evidence.record(&announcement.version, &offer.route, result);
+        self.update_veto(&offer.service, &announcement.version);
+    }
+
+    /// Stops requests to a version that is rolled out if this node's evidence shows that it is bad.
+    fn update_veto(&self, service: &ServiceName, version: &VersionName) {
+        let rolling_out = self.deployment().is_rolling_out(service, version);
         {
             let mut inner = self.lock();
-            inner.evidence.record(&announcement.version, &offer.route, result);
             if !rolling_out || inner.vetoed {
                 return;
             }
-            let Finding::Bad(why) = assess(&inner.evidence, &announcement.version, BAD_P_VALUE)
-            else {
-                return;
-            };
-            log::warn!(version = announcement.version.as_str(), why = &*why;
-                "version vetoed at this node");
+            let Finding::Bad(why) = assess(&inner.evidence, version, BAD_P_VALUE) else { return };
+            log::warn!(version = version.as_str(), why = &*why; "version vetoed at this node");
             inner.vetoed = true;
         }
         self.update_admission();
     }
 }
 
+/// Returns the time that a run would have taken on a machine that is not slow.
+fn normalized(time: Duration, slowness_percent: u32) -> Duration {
+    time.mul_f64(100.0 / f64::from(slowness_percent.max(100)))
+}
+
+/// A run on the upstream. When it is dropped before its end, because its client has left or a hedged
+/// request has an answer from elsewhere, the time that it has taken is recorded.
+struct RunGuard<'a, C: Clock> {
+    owner: &'a Owner<C>,
+    offer: &'a Offer,
+    version: &'a VersionName,
+    started: Instant,
+    slowness: u32,
+}
+
+impl<C: Clock> RunGuard<'_, C> {
+    /// Ends the run, whose outcome is recorded elsewhere.
+    fn end(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl<C: Clock> Drop for RunGuard<'_, C> {
+    fn drop(&mut self) {
+        let time = self.owner.clock.now().saturating_duration_since(self.started);
+        let time = normalized(time, self.slowness);
+        self.owner.lock().evidence.record_abandoned(self.version, &self.offer.route, time);
+        self.owner.update_veto(&self.offer.service, self.version);
+    }
+}
+
 /// Removes the headers of a response that concern only the connection it came on.
 fn strip_connection_headers(mut response: Response) -> Response {
     response.headers.remove_hop_by_hop();
--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -29,6 +29,8 @@
 pub struct Member {
     pub name: String,
     pub service: String,
+    pub zone: String,
+    pub version: String,
     pub ingress: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
@@ -52,6 +54,16 @@
     }
 }
 
+/// Where a member of a fleet runs and what its upstream is.
+#[derive(Clone, Debug)]
+pub struct MemberSpec {
+    pub zone: &'static str,
+    pub service: &'static str,
+    pub version: &'static str,
+}
+
+const DEFAULT_MEMBER: MemberSpec = MemberSpec { zone: "z1", service: "kettle", version: "v1" };
+
 /// Whether the test reads the standard output of a node.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum StdoutReader {
@@ -123,8 +135,8 @@
     pub async fn announce_cold(&mut self, state: &str, cold_for: Duration) -> u16 {
         self.sequence += 1;
         let body = json!({
-            "service": self.service, "address": self.upstream_addr().to_string(), "zone": "z1",
-            "version": "v1", "slots": 4, "state": state,
+            "service": self.service, "address": self.upstream_addr().to_string(),
+            "zone": self.zone, "version": self.version, "slots": 4, "state": state,
             "coldRemainingMs": cold_for.as_millis() as u64, "sequence": self.sequence, "born": self.born,
         });
         let path = format!("/api/instances/{}", self.upstream.id());
@@ -151,6 +163,11 @@
         .await
     }
 
+    pub fn log_text(&self) -> String {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().map(|line| format!("{line}\n")).collect()
+    }
+
     pub fn log_events(&self) -> Vec<String> {
         let lines = self.lines.lock().unwrap();
         lines.iter().filter_map(|line| line["event"].as_str().map(str::to_owned)).collect()
@@ -247,18 +264,34 @@
     }
 
     async fn launch(count: usize, reader: StdoutReader, proxied: bool) -> Self {
+        let specs = vec![DEFAULT_MEMBER; count];
+        let mut fleet = Self::launch_specs(&specs, &config(3, None), reader, proxied).await;
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// Starts the nodes of a deployment, whose upstreams have not announced themselves yet. They
+    /// reach the store and their upstreams through proxies.
+    pub async fn start_specs(specs: &[MemberSpec], config: &Value) -> Self {
+        Self::launch_specs(specs, config, StdoutReader::Running, true).await
+    }
+
+    async fn launch_specs(
+        specs: &[MemberSpec],
+        config: &Value,
+        reader: StdoutReader,
+        proxied: bool,
+    ) -> Self {
         let (mut ports, dir) = (PortBlock::reserve(), TempDir::new().unwrap());
         let store = KvStore::start(ports.next_address().unwrap()).await.unwrap();
-        store.put("op/config", &config(3, None));
+        store.put("op/config", config);
         let mut members = Vec::new();
-        for index in 0..count {
-            let mut member = Self::member(index, &mut ports, &store, &dir, proxied).await;
+        for (index, spec) in specs.iter().enumerate() {
+            let mut member = Self::member(index, spec, &mut ports, &store, &dir, proxied).await;
             member.start(reader);
             members.push(member);
         }
-        let mut fleet = Self { store, members, _ports: ports, _dir: dir };
-        fleet.wait_until_ready().await;
-        fleet
+        Self { store, members, _ports: ports, _dir: dir }
     }
 
     /// Waits until all nodes are ready and the store has the records of their upstreams.
@@ -283,8 +316,22 @@
         task::sleep(Duration::from_millis(400)).await;
     }
 
+    /// Waits until the first nodes are ready and know the upstreams of each other.
+    pub async fn wait_until_serving(&mut self, nodes: usize) {
+        for member in &mut self.members[..nodes] {
+            let end = Instant::now() + STEP_TIMEOUT;
+            while !member.is_ready().await || member.announce("ready").await != 200 {
+                assert!(Instant::now() < end, "{} is not ready", member.name);
+                task::sleep(POLL_INTERVAL).await;
+            }
+        }
+        // The other nodes get the last record with their next watch response.
+        task::sleep(Duration::from_millis(1_400)).await;
+    }
+
     async fn member(
         index: usize,
+        spec: &MemberSpec,
         ports: &mut PortBlock,
         store: &KvStore,
         dir: &TempDir,
@@ -303,9 +350,11 @@
         let direct = (store.addr(), upstream.addr());
         let (to_store, to_upstream) =
             links.as_ref().map_or(direct, |(store, upstream)| (store.addr(), upstream.addr()));
+        let MemberSpec { zone, service, version } = spec;
         let settings = dir.path().join(format!("node-{index}.ini"));
         let text = format!(
-            "[node]\nname = node-{index}\nzone = z1\nservice = kettle\nupstream = {to_upstream}\n\
+            "[node]\nname = node-{index}\nzone = {zone}\nservice = {service}\n\
+             upstream = {to_upstream}\n\
              [listen]\ningress = {ingress}\ninner = {inner}\nready = {ready}\n\
              control = {control}\nmetrics = {metrics}\n\
              [store]\naddress = {to_store}\n[terms]\nstop-s = 6\n",
@@ -313,7 +362,9 @@
         std::fs::write(&settings, text).unwrap();
         Member {
             name: format!("node-{index}"),
-            service: "kettle".to_owned(),
+            service: (*service).to_owned(),
+            zone: (*zone).to_owned(),
+            version: (*version).to_owned(),
             ingress,
             ready,
             control,
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -2,11 +2,13 @@
 
 mod cold_upstreams;
 mod deadly_requests;
+mod deployment;
 mod fleet;
 mod http;
 mod lost_answers;
 mod odd_entries;
 mod processes;
+mod slow_version;
 mod soak;
 mod store_restore;
 mod upstream_conditions;
