Refuse requests that cannot end before a stopping node exits

Callers saw (LOST, reported by other operators): requests that came late in a planned stop were taken, passed on and cut without an answer, among them requests that may run only once.

Cause: requests were taken for half of the time until the kill, whatever they needed, although the node had learnt how long its routes take; and one of the times was a constant that does not fit short grace times.

StopSchedule derives all times of a stop from the time until the kill. A request whose usual time does not fit before the exit is refused with 503, so that its client goes to another node at once; owners refuse such requests of other nodes, too. Requests are refused before the last look at those in flight.

--- a/crates/mesh/src/latency_estimate.rs
+++ b/crates/mesh/src/latency_estimate.rs
@@ -51,8 +51,13 @@
         Duration::from_secs_f64(self.mean)
     }
 
+    /// Returns the time within which nine of ten answers come.
+    pub fn usual_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.quantile)
+    }
+
     /// Returns the time after dispatch at which a request is hedged.
     pub fn hedge_delay(&self) -> Duration {
-        Duration::from_secs_f64(self.quantile).max(MIN_HEDGE_DELAY)
+        self.usual_limit().max(MIN_HEDGE_DELAY)
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`retry_after`]: when a refused client should retry.
 //! - [`retry_budget`]: how many retries this node may send.
 //! - [`rollout`]: which versions may serve, and whether a new version is good.
+//! - [`stop`]: the times of a planned stop.
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
 
@@ -33,5 +34,6 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod rollout;
+pub mod stop;
 pub mod token_bucket;
 pub mod upstream;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -14,4 +14,5 @@
 mod request_limit;
 mod retry_budget;
 mod rollout;
+mod stop;
 mod upstream;
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::pin,
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -180,6 +180,6 @@
 impl<C: Clock> Shared<C> {
     /// Returns whether the node accepts clients.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.config().is_some()
+        !self.is_stopping() && self.config().is_some()
     }
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant, UNIX_EPOCH},
@@ -15,7 +15,7 @@
 use event_listener::Event;
 use oleandertiller_mesh::{
     config::Config, exposure::ExposureLimit, leadership::ProcessId, members::NodeRecord,
-    retry_budget::RetryBudgetConfig,
+    retry_budget::RetryBudgetConfig, stop::StopSchedule,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -55,21 +55,9 @@
 /// Fraction of the allowed health check rate that is used.
 const HEALTH_CHECK_FRACTION: f64 = 0.6;
 
-/// Time after the request to stop for which the owner still admits requests, and the process stays
-/// up even when idle. The platform needs up to two readiness checks, a second apart, to notice that
-/// the node is not ready.
-const STOP_ADMIT_TIME: Duration = Duration::from_millis(2_600);
-
-/// Fraction of the stop time after which client requests are refused: the requests of clients that
-/// have not gone elsewhere by then would be cut off by the kill.
-const STOP_SERVE_FRACTION: f64 = 0.5;
-
 /// Timeout of removing the node's record when the process stops.
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time before the kill at which the process exits even with requests in flight.
-const KILL_MARGIN: Duration = Duration::from_millis(900);
-
 /// Interval at which a stopping process checks for requests in flight.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -100,8 +88,8 @@
     pub change_feed: ChangeFeed,
     /// Figures that the metrics endpoint reports.
     pub metrics: Arc<Metrics>,
-    /// Whether the process has been asked to stop.
-    pub stopping: AtomicBool,
+    /// Times of the planned stop, once the process has been asked to stop.
+    pub stop_schedule: OnceLock<StopSchedule>,
     /// Whether client requests are refused because the process is about to exit.
     pub refusing: AtomicBool,
     /// Number of requests in flight, of clients and of other nodes.
@@ -170,7 +158,7 @@
             incarnation: self.process.incarnation,
             inner: self.settings.listen.inner,
             zone: self.settings.node.zone.clone(),
-            stopping: self.stopping.load(Ordering::Relaxed),
+            stopping: self.is_stopping(),
             upstream: self.owner.announcement().map(|mut announcement| {
                 // Fields that change with each announcement would cause a write each time.
                 announcement.sequence = 0;
@@ -228,7 +216,7 @@
 
     /// Returns whether the process has been asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop_schedule.get().is_some()
     }
 
     /// Reports that a call to the store went unanswered, which interrupts a pending watch.
@@ -330,20 +318,26 @@
     /// requests in flight.
     pub async fn stop(self) {
         let Self { shared, stop_ports, stop_registration, registration } = self;
-        let stop_requested = shared.clock.now();
-        let time = Duration::from_secs_f64(shared.settings.terms.stop_seconds);
-        let deadline = stop_requested + time.saturating_sub(KILL_MARGIN);
-        shared.stopping.store(true, Ordering::Relaxed);
+        let until_kill = Duration::from_secs_f64(shared.settings.terms.stop_seconds);
+        let schedule = StopSchedule::new(shared.clock.now(), until_kill);
+        shared.owner.begin_stop(schedule);
+        // It is empty before: a daemon is stopped once.
+        let _ = shared.stop_schedule.set(schedule);
         shared.record_changed();
-        shared.timers.at((stop_requested + STOP_ADMIT_TIME).min(deadline)).await;
+        shared.timers.at(schedule.admit_until()).await;
         shared.owner.stop_admitting();
-        let refuse_at = stop_requested + time.mul_f64(STOP_SERVE_FRACTION);
-        while shared.active.load(Ordering::Relaxed) > 0 && shared.clock.now() < deadline {
-            let refusing = shared.clock.now() >= refuse_at;
-            shared.refusing.store(refusing, Ordering::Relaxed);
-            shared.timers.at(shared.clock.now() + STOP_POLL_INTERVAL).await;
+        loop {
+            let now = shared.clock.now();
+            let is_idle = shared.active.load(Ordering::SeqCst) == 0;
+            if is_idle || now >= schedule.refuse_from() {
+                shared.refusing.store(true, Ordering::SeqCst);
+            }
+            // A request that was not refused is counted by now.
+            if shared.active.load(Ordering::SeqCst) == 0 && is_idle || now >= schedule.exit_at() {
+                break;
+            }
+            shared.timers.at(now + STOP_POLL_INTERVAL).await;
         }
-        shared.refusing.store(true, Ordering::Relaxed);
         stop_ports.close();
         stop_registration.close();
         // If this fails, the record's lease expires by itself.
@@ -404,7 +398,7 @@
         store: Store::new(settings.store.address, clock.clone(), metrics.clone()),
         change_feed: ChangeFeed::default(),
         metrics,
-        stopping: AtomicBool::new(false),
+        stop_schedule: OnceLock::new(),
         refusing: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         rewrite: AtomicBool::new(false),
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -287,6 +287,11 @@
         estimate.or_insert_with(|| LatencyEstimate::new(route.objective)).mean()
     }
 
+    /// Returns the time within which most of a route's answers come; zero if none has come yet.
+    pub fn usual_answer_time(&self, route: &Arc<str>) -> Duration {
+        self.latencies.get(route).map_or(Duration::ZERO, LatencyEstimate::usual_limit)
+    }
+
     /// Returns the time after dispatch at which a hedged request is sent.
     pub fn hedge_delay(&mut self, route: &Route) -> Duration {
         let estimate = self.latencies.entry(route.name.clone());
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -167,7 +167,7 @@
             Some(Err(_)) => return AfterRequest::Close,
             None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
         };
-        if self.shared.refusing.load(Ordering::Relaxed) {
+        if self.shared.refusing.load(Ordering::SeqCst) {
             return self.refuse_unread(conn, ErrorKind::Draining).await;
         }
         let close = head.close;
@@ -176,6 +176,10 @@
             ClientRequest::read(head, body, arrived, self.shared.config().as_deref(), &caller);
         let (id, outcome) = match request {
             Err(refusal) => (refusal.id.clone(), self.on_refusal(&refusal, arrived)),
+            Ok(request) if !self.ends_before_exit(&request) => {
+                let refusal = request.refuse(ErrorKind::Draining);
+                (refusal.id.clone(), self.on_refusal(&refusal, arrived))
+            }
             Ok(mut request) => {
                 request.parent = self.shared.owner.parent_of(&request.id);
                 let outcome =
@@ -193,7 +197,7 @@
                 (Some(request.id.clone()), outcome)
             }
         };
-        let close = close || self.shared.stopping.load(Ordering::Relaxed);
+        let close = close || self.shared.is_stopping();
         let bytes = self.encode_outcome(id.as_deref(), outcome, arrived, close);
         let written = timers.within(clock.now() + WRITE_TIMEOUT, conn.write(&bytes)).await;
         match written {
@@ -203,6 +207,13 @@
         }
     }
 
+    /// Returns whether a request is likely to end before the process exits.
+    fn ends_before_exit(&self, request: &ClientRequest) -> bool {
+        let Some(schedule) = self.shared.stop_schedule.get() else { return true };
+        let usual_time = self.shared.deployment().usual_answer_time(&request.route.name);
+        schedule.may_take(usual_time, self.shared.clock.now())
+    }
+
     fn elapsed_ms(&self, since: Instant) -> u64 {
         self.shared.clock.now().saturating_duration_since(since).as_millis() as u64
     }
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -129,6 +129,12 @@
         })
     }
 
+    /// Returns why the request is refused although it is valid.
+    pub fn refuse(self, kind: ErrorKind) -> Refusal {
+        let host = self.headers.get("host").unwrap_or("").to_owned();
+        Refusal { kind, id: Some(self.id), host, target: self.target, config: self.config }
+    }
+
     /// Returns whether the request is idempotent, so that it may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.retry_safety == RetrySafety::Idempotent
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -22,6 +22,7 @@
     crash_suspects::{CrashSuspects, Fingerprint, Verdict, chosen_owner},
     exposure::OwnerExposure,
     rollout::Evidence,
+    stop::StopSchedule,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
@@ -47,6 +48,7 @@
     upstream: Upstream,
     queue: AdmissionQueue,
     waiters: HashMap<Ticket, Sender<Result<(), ErrorKind>>>,
+    stop_schedule: Option<StopSchedule>,
     stopping: bool,
     evidence: Evidence,
     next_health_check: Option<Instant>,
@@ -173,6 +175,7 @@
             upstream: Upstream::default(),
             queue: AdmissionQueue::default(),
             waiters: HashMap::new(),
+            stop_schedule: None,
             stopping: false,
             evidence: Evidence::default(),
             next_health_check: None,
@@ -244,6 +247,11 @@
         current_left
     }
 
+    /// Refuses requests from now on that are not likely to end before the process exits.
+    pub fn begin_stop(&self, schedule: StopSchedule) {
+        self.lock().stop_schedule = Some(schedule);
+    }
+
     /// Refuses the requests that have not started, and all later ones, before the process stops.
     pub fn stop_admitting(&self) {
         self.lock().stopping = true;
@@ -343,6 +351,11 @@
         if offer.node != self.cfg.node || !self.lock().upstream.latest().is_some_and(is_expected) {
             return not_run(ErrorKind::NoUpstream);
         }
+        let stop_schedule = self.lock().stop_schedule;
+        let usual_time = self.deployment().usual_answer_time(&offer.route);
+        if stop_schedule.is_some_and(|schedule| !schedule.may_take(usual_time, self.clock.now())) {
+            return not_run(ErrorKind::Draining);
+        }
         let suspect = match self.crash_verdict(offer) {
             (Verdict::Run, suspect) => suspect,
             (Verdict::NotHere, _) => return not_run(ErrorKind::CrashSuspect),
