--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -60,6 +60,8 @@
     Replaced,
     /// It updates the current incarnation.
     Updated,
+    /// It is older than the latest one, but says that the current incarnation is leaving.
+    Advanced,
     /// It is older than the latest one; nothing changed.
     Stale,
 }
@@ -78,7 +80,7 @@
         self.latest.as_ref()
     }
 
-    /// Applies an announcement unless it is stale. The stage of an incarnation never goes back, and
+    /// Applies an announcement, or only its stage if it is late. The stage of an incarnation never goes back, and
     /// a later start wins over an earlier one.
     pub fn apply(&mut self, announcement: Announcement) -> AnnouncementOutcome {
         if self.has_departed(&announcement.incarnation) {
@@ -90,7 +92,7 @@
         };
         if announcement.incarnation == latest.incarnation {
             if announcement.sequence <= latest.sequence || latest.stage == Stage::Gone {
-                return AnnouncementOutcome::Stale;
+                return self.advance_stage(announcement.stage);
             }
             let stage = announcement.stage.max(latest.stage);
             self.latest = Some(Announcement { stage, ..announcement });
@@ -103,6 +105,18 @@
         AnnouncementOutcome::Replaced
     }
 
+    /// Applies the stage of a late announcement of the current incarnation. What it says of leaving
+    /// stays true, and its sender takes the answer for an acknowledgement.
+    fn advance_stage(&mut self, stage: Stage) -> AnnouncementOutcome {
+        match &mut self.latest {
+            Some(latest) if latest.stage < stage => {
+                latest.stage = stage;
+                AnnouncementOutcome::Advanced
+            }
+            _ => AnnouncementOutcome::Stale,
+        }
+    }
+
     /// Returns whether an incarnation left before this node knew it. An announcement that was sent
     /// before may arrive after that.
     fn has_departed(&mut self, incarnation: &Incarnation) -> bool {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -215,7 +215,9 @@
             let mut inner = self.lock();
             let previous_stage = inner.upstream.latest().map(|latest| latest.stage);
             let outcome = inner.upstream.apply(announcement);
-            if outcome != AnnouncementOutcome::Stale {
+            let is_newest =
+                matches!(outcome, AnnouncementOutcome::Replaced | AnnouncementOutcome::Updated);
+            if is_newest {
                 inner.queue.set_cold_limit(cold_for, rate, self.clock.now());
             }
             if outcome == AnnouncementOutcome::Replaced {
@@ -226,7 +228,7 @@
                 self.pool.clear();
             }
             if outcome == AnnouncementOutcome::Replaced
-                || outcome == AnnouncementOutcome::Updated && previous_stage != Some(stage)
+                || outcome != AnnouncementOutcome::Stale && previous_stage != Some(stage)
             {
                 log::info!(upstream = &*id, stage:? = stage, service = service.as_str(),
                     cold_ms = cold_for.as_millis() as u64; "upstream announced");
