--- a/crates/mesh/src/change_feed.rs
+++ b/crates/mesh/src/change_feed.rs
@@ -56,7 +56,7 @@
 
 /// Up to which moment a node knows the changes in the store.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Currency {
+pub struct Freshness {
     /// All changes until then are known; `None` if no moment is known.
     as_of: Option<Instant>,
     /// When the watch that is waiting for an answer was sent.
@@ -72,7 +72,7 @@
     pub in_all: Duration,
 }
 
-impl Currency {
+impl Freshness {
     /// Records that a watch has been sent to the store.
     pub fn on_watch_sent(&mut self, now: Instant) {
         self.watch_sent = Some(now);
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -80,8 +80,8 @@
         self.latest.as_ref()
     }
 
-    /// Applies an announcement, or only its stage if it is late. The stage of an incarnation never goes back, and
-    /// a later start wins over an earlier one.
+    /// Applies an announcement, or only its stage if it is late. The stage of an incarnation never
+    /// goes back, and a later start wins over an earlier one.
     pub fn apply(&mut self, announcement: Announcement) -> AnnouncementOutcome {
         if self.has_departed(&announcement.incarnation) {
             return AnnouncementOutcome::Stale;
--- a/crates/mesh/tests/mesh/change_feed.rs
+++ b/crates/mesh/tests/mesh/change_feed.rs
@@ -4,8 +4,8 @@
 
 use oleandertiller_mesh::{
     change_feed::{
-        CONFIRM_INTERVAL, ChangeLog, ChangesSince, Currency, MAX_FED_AGE, MAX_SOURCE_AGE, Position,
-        SourceSelector, WATCH_PAUSE, longest_delay,
+        CONFIRM_INTERVAL, ChangeLog, ChangesSince, Freshness, MAX_FED_AGE, MAX_SOURCE_AGE,
+        Position, SourceSelector, WATCH_PAUSE, longest_delay,
     },
     members::{Members, NodeRecord},
 };
@@ -151,17 +151,17 @@
 fn silent_watch_is_taken_for_no_changes() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut currency = Currency::default();
-    assert!(!currency.may_feed(at(0)), "nothing is known yet");
-    currency.on_watch_answered(at(0));
-    currency.on_watch_sent(at(100));
+    let mut freshness = Freshness::default();
+    assert!(!freshness.may_feed(at(0)), "nothing is known yet");
+    freshness.on_watch_answered(at(0));
+    freshness.on_watch_sent(at(100));
     for ms in (500..5_000).step_by(400) {
-        currency.on_confirmed(at(ms));
-        assert!(currency.may_feed(at(ms + 100)));
+        freshness.on_confirmed(at(ms));
+        assert!(freshness.may_feed(at(ms + 100)));
     }
     // The last confirmation was sent 4.9 s after the start; then the store is out of reach.
-    assert!(currency.may_feed(at(6_200)));
-    assert!(!currency.may_feed(at(6_300)));
+    assert!(freshness.may_feed(at(6_200)));
+    assert!(!freshness.may_feed(at(6_300)));
 }
 
 /// Guards against a confirmation that counts although no watch was waiting when it was sent, as in the
@@ -170,17 +170,17 @@
 fn reachable_store_is_taken_for_a_waiting_watch() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut currency = Currency::default();
-    currency.on_watch_answered(at(0));
-    currency.on_confirmed(at(400));
-    assert_eq!(currency.age(at(800)), Some(Duration::from_millis(800)));
-    currency.on_watch_sent(at(800));
+    let mut freshness = Freshness::default();
+    freshness.on_watch_answered(at(0));
+    freshness.on_confirmed(at(400));
+    assert_eq!(freshness.age(at(800)), Some(Duration::from_millis(800)));
+    freshness.on_watch_sent(at(800));
     // Sent before the watch, answered after it.
-    currency.on_confirmed(at(700));
-    assert_eq!(currency.age(at(900)), Some(Duration::from_millis(900)));
-    currency.on_watch_failed();
-    currency.on_confirmed(at(1_200));
-    assert!(!currency.may_feed(at(1_400)));
+    freshness.on_confirmed(at(700));
+    assert_eq!(freshness.age(at(900)), Some(Duration::from_millis(900)));
+    freshness.on_watch_failed();
+    freshness.on_confirmed(at(1_200));
+    assert!(!freshness.may_feed(at(1_400)));
 }
 
 /// Guards against a reply that was on its way for long, or whose source was paused after writing it,
@@ -190,7 +190,7 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let ms = Duration::from_millis;
-    let mut fed = Currency::default();
+    let mut fed = Freshness::default();
     assert_eq!(fed.reply_wait(at(0)), None);
     fed.on_watch_answered(at(0));
     // The source had waited 300 ms and knew the changes until 200 ms before that.
--- a/src/mesh/change_feed.rs
+++ b/src/mesh/change_feed.rs
@@ -7,7 +7,7 @@
 
 use event_listener::Event as Wake;
 use oleandertiller_mesh::change_feed::{
-    ChangeLog, ChangesSince, Currency, MAX_CHANGE_WAIT, MAX_FED_AGE, Position, ReplyWait,
+    ChangeLog, ChangesSince, Freshness, MAX_CHANGE_WAIT, MAX_FED_AGE, Position, ReplyWait,
 };
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::Event;
@@ -107,7 +107,7 @@
 struct FeedState {
     change_log: ChangeLog<RelayedChange>,
     feed_source: FeedSource,
-    currency: Currency,
+    freshness: Freshness,
     /// When another node last requested changes.
     requested_at: Option<Instant>,
 }
@@ -123,7 +123,7 @@
         let state = FeedState {
             change_log: ChangeLog::new(Position::default()),
             feed_source: FeedSource::Peer,
-            currency: Currency::default(),
+            freshness: Freshness::default(),
             requested_at: None,
         };
         Self { state: Mutex::new(state), wake: Wake::new() }
@@ -146,13 +146,13 @@
     }
 
     /// Updates up to which moment this node knows the changes.
-    pub fn update_currency(&self, f: impl FnOnce(&mut Currency)) {
-        f(&mut self.lock().currency);
+    pub fn update_freshness(&self, f: impl FnOnce(&mut Freshness)) {
+        f(&mut self.lock().freshness);
     }
 
     /// Returns how long this node may wait for its source, or `None` if it has to ask the store.
     pub fn reply_wait(&self, now: Instant) -> Option<ReplyWait> {
-        self.lock().currency.reply_wait(now)
+        self.lock().freshness.reply_wait(now)
     }
 
     /// Returns whether other nodes rely on this one.
@@ -190,7 +190,7 @@
                 let waited = now.saturating_duration_since(started);
                 let reply = |changes, position| {
                     // Before the first watch is answered, nothing is known.
-                    let age = state.currency.age(now).unwrap_or(MAX_FED_AGE);
+                    let age = state.freshness.age(now).unwrap_or(MAX_FED_AGE);
                     ChangeReply::Changes(RelayedChanges { changes, position, waited, age })
                 };
                 match state.feed_source {
@@ -203,7 +203,7 @@
                         ChangesSince::Changes(changes, to) if !changes.is_empty() => {
                             return reply(changes, to);
                         }
-                        _ if !state.currency.may_feed(now) => return ChangeReply::NoSource,
+                        _ if !state.freshness.may_feed(now) => return ChangeReply::NoSource,
                         _ if waited >= max_wait => {
                             return reply(
                                 Vec::new(),
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -134,7 +134,7 @@
             match self.shared.store.call(&Call::Renew { lease }).await {
                 Ok(Answer::Leased { .. }) if !self.forget_if_restored() => {
                     let change_feed = &self.shared.change_feed;
-                    change_feed.update_currency(|currency| currency.on_confirmed(sent));
+                    change_feed.update_freshness(|freshness| freshness.on_confirmed(sent));
                     return true;
                 }
                 Ok(Answer::Leased { .. }) => {}
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -156,7 +156,7 @@
         self.shared.store_read.set(true);
         self.shared.update_admission();
         let change_feed = &self.shared.change_feed;
-        change_feed.update_currency(|currency| currency.on_watch_answered(listed_from));
+        change_feed.update_freshness(|freshness| freshness.on_watch_answered(listed_from));
         change_feed.restart(position);
         Some(position)
     }
@@ -215,7 +215,7 @@
                 self.apply(events, position).await;
                 shared
                     .change_feed
-                    .update_currency(|currency| currency.on_reply(requested, waited, age));
+                    .update_freshness(|freshness| freshness.on_reply(requested, waited, age));
                 Some(position)
             }
             Ok(Ok(other)) => {
@@ -278,7 +278,7 @@
         let call = Call::Watch { prefix: ALL_KEYS.to_owned(), after: revision, wait };
         let shared = self.shared.clone();
         let sent = shared.clock.now();
-        shared.change_feed.update_currency(|currency| currency.on_watch_sent(sent));
+        shared.change_feed.update_freshness(|freshness| freshness.on_watch_sent(sent));
         let pending = shared.store.call_in_era(&call);
         let answer = match select(pin!(pending), pin!(shared.store_failure())).await {
             Either::Left((answer, _)) => answer,
@@ -290,9 +290,9 @@
         };
         self.set_answering(answer.is_ok() && !matches!(answer, Ok((Answer::Busy, _))));
         let now = shared.clock.now();
-        shared.change_feed.update_currency(|currency| match &answer {
-            Ok((Answer::Changes { .. }, _)) => currency.on_watch_answered(now),
-            _ => currency.on_watch_failed(),
+        shared.change_feed.update_freshness(|freshness| match &answer {
+            Ok((Answer::Changes { .. }, _)) => freshness.on_watch_answered(now),
+            _ => freshness.on_watch_failed(),
         });
         self.set_feed_source();
         match answer {
