Keep the store disturbed in a play until its last disturbance ends; larger blocks of ports

The schedule and the nodes' logs show the outage from 7.9 to 11.0 s, and the refusals from 11.5 to 11.8 s.

--- a/crates/standin/src/ports.rs
+++ b/crates/standin/src/ports.rs
@@ -12,8 +12,9 @@
 /// the node restarts.
 const PORT_RANGE: Range<u16> = 12_000..32_000;
 
-/// Ports in a block, including the first one, which is bound as the lock of the block.
-const PORTS_PER_BLOCK: u16 = 100;
+/// Ports in a block, including the first one, which is bound as the lock of the block; more than the
+/// largest fleet needs, since other programs may use some of them.
+const PORTS_PER_BLOCK: u16 = 200;
 
 /// A block of ports reserved for one fleet on this machine until it is dropped.
 ///
--- a/tests/mesh/deployment/schedule.rs
+++ b/tests/mesh/deployment/schedule.rs
@@ -276,9 +276,16 @@
             }
             Due::EndOutage => {
                 fleet.store.set_outage(Outage::None);
-                self.timeline.end(Scope::Store);
+                self.end_of_store();
             }
-            Due::EndStoreDisturbance => self.timeline.end(Scope::Store),
+            Due::EndStoreDisturbance => self.end_of_store(),
+        }
+    }
+
+    /// Records the end of a disturbance of the store, unless another one goes on.
+    fn end_of_store(&self) {
+        if !self.due.iter().any(|(_, due)| due.node().is_none()) {
+            self.timeline.end(Scope::Store);
         }
     }
 
