Wait for the source in an outage of the store, and confirm as soon as a node is asked

Cause: a node that is too old asks the store itself. In an outage that made every node call the store about twice as often as before. And a source renewed its lease as before until its next renewal after the first request, 2.4 s in a large fleet, so that it was too old for all nodes of its zone once at the start.

--- a/crates/mesh/src/change_feed.rs
+++ b/crates/mesh/src/change_feed.rs
@@ -40,10 +40,10 @@
 
 /// Age of a node's knowledge from which it no longer feeds others: a pause between two watches, the
 /// confirmation after it and its delay.
-pub const MAX_SOURCE_AGE: Duration = Duration::from_millis(1_350);
+pub const MAX_SOURCE_AGE: Duration = Duration::from_millis(1_450);
 
 /// Age of a node's knowledge from which it asks the store itself.
-pub const MAX_FED_AGE: Duration = Duration::from_millis(1_500);
+pub const MAX_FED_AGE: Duration = Duration::from_millis(1_600);
 
 /// Time that a node reserves for the way of a reply, of the time for which it can wait for one.
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
@@ -51,6 +51,10 @@
 /// Minimum time for which waiting for a reply is worth a request.
 const MIN_REPLY_WAIT: Duration = Duration::from_millis(50);
 
+/// Maximum time for which a request waits while the source retries the store. A store that rejects
+/// the source may still serve the requesting node.
+pub const RETRY_WAIT: Duration = Duration::from_millis(600);
+
 /// Maximum time for which a request waits for changes at the source.
 pub const MAX_CHANGE_WAIT: Duration = Duration::from_millis(800);
 
@@ -115,8 +119,13 @@
         self.age(now).is_some_and(|age| age <= MAX_SOURCE_AGE)
     }
 
-    /// Returns how long the node may wait for its source, or `None` if it has to ask the store.
-    pub fn reply_wait(&self, now: Instant) -> Option<ReplyWait> {
+    /// Returns how long the node may wait for its source, or `None` if it has to ask the store. If
+    /// the store does not answer this node, it waits for the source however old its knowledge is:
+    /// in an outage, calls of all nodes help nobody.
+    pub fn reply_wait(&self, store_answers: bool, now: Instant) -> Option<ReplyWait> {
+        if !store_answers {
+            return Some(ReplyWait { at_source: RETRY_WAIT, in_all: RETRY_WAIT + REPLY_MARGIN });
+        }
         let in_all = MAX_FED_AGE.checked_sub(self.age(now)?)?;
         let at_source = in_all.checked_sub(REPLY_MARGIN).filter(|wait| *wait >= MIN_REPLY_WAIT)?;
         Some(ReplyWait { at_source: at_source.min(MAX_CHANGE_WAIT), in_all })
--- a/src/mesh/change_feed.rs
+++ b/src/mesh/change_feed.rs
@@ -7,7 +7,8 @@
 
 use event_listener::Event as Wake;
 use oleandertiller_mesh::change_feed::{
-    ChangeLog, ChangesSince, Freshness, MAX_CHANGE_WAIT, MAX_FED_AGE, Position, ReplyWait,
+    ChangeLog, ChangesSince, Freshness, MAX_CHANGE_WAIT, MAX_FED_AGE, Position, RETRY_WAIT,
+    ReplyWait,
 };
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::Event;
@@ -22,10 +23,6 @@
 /// Time after the last request for changes for which a node confirms that the store is in reach.
 const IN_USE_TIME: Duration = Duration::from_secs(2);
 
-/// Maximum time for which a request waits while the source retries the store. A store that rejects
-/// the source may still serve the requesting node.
-const RETRY_WAIT: Duration = Duration::from_millis(300);
-
 /// Interval at which a waiting request checks the age of the source's knowledge.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -151,8 +148,15 @@
     }
 
     /// Returns how long this node may wait for its source, or `None` if it has to ask the store.
-    pub fn reply_wait(&self, now: Instant) -> Option<ReplyWait> {
-        self.lock().freshness.reply_wait(now)
+    pub fn reply_wait(&self, store_answers: bool, now: Instant) -> Option<ReplyWait> {
+        self.lock().freshness.reply_wait(store_answers, now)
+    }
+
+    /// Records that another node requests changes; returns whether none has done so recently.
+    pub fn on_request(&self, now: Instant) -> bool {
+        let is_first = !self.is_in_use(now);
+        self.lock().requested_at = Some(now);
+        is_first
     }
 
     /// Returns whether other nodes rely on this one.
@@ -180,7 +184,6 @@
         timers: &Timers,
     ) -> ChangeReply {
         let started = clock.now();
-        self.lock().requested_at = Some(started);
         let max_wait = request.max_wait.min(MAX_CHANGE_WAIT);
         loop {
             let wake = self.wake.listen();
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -258,6 +258,10 @@
             CHANGES_PATH => {
                 let request: ChangeRequest = codec::decode(&body).ok()?;
                 let Shared { change_feed, clock, timers, .. } = &*self.0;
+                if change_feed.on_request(clock.now()) {
+                    // The lease is renewed more often from now on.
+                    self.0.record_changed();
+                }
                 Some(codec::encode(&change_feed.answer(request, clock, timers).await))
             }
             REPORT_PATH => {
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -56,11 +56,14 @@
         let _ =
             self.shared.timers.within(read_deadline, self.shared.store_read.wait_for(true)).await;
         let mut renew_at = self.shared.clock.now();
+        let mut renewed_at = renew_at;
         loop {
             let now = self.shared.clock.now();
+            renew_at = renew_at.min(renewed_at + self.renewal_interval(now));
             let kept = match now >= renew_at || self.forget_if_restored() {
                 true => {
                     let kept = self.renew().await && self.write().await;
+                    renewed_at = now;
                     renew_at = now + self.renewal_interval(now);
                     kept
                 }
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -203,7 +203,7 @@
         shared.change_feed.set_feed_source(FeedSource::Peer);
         let peer = source.node.as_str();
         let requested = shared.clock.now();
-        let wait = shared.change_feed.reply_wait(requested)?;
+        let wait = shared.change_feed.reply_wait(!self.is_unreachable(), requested)?;
         let until = requested + wait.in_all;
         let request = codec::encode(&ChangeRequest { after, max_wait: wait.at_source });
         let answer = shared.client.request(source.inner, CHANGES_PATH, request, until).await;
