--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -208,10 +208,11 @@
         *self.stored_record() = None;
     }
 
-    /// Returns the limit on requests to a bad version.
-    pub fn exposure(&self) -> ExposureLimit {
+    /// Returns the limit on requests to a bad version, if the deployment has rollouts.
+    pub fn exposure(&self) -> Option<ExposureLimit> {
         let terms = &self.settings.terms;
-        ExposureLimit { share: terms.exposure_share, extra: terms.exposure_extra }
+        let (share, extra) = terms.exposure_share.zip(terms.exposure_extra)?;
+        Some(ExposureLimit { share, extra })
     }
 
     /// Returns whether the process has been asked to stop.
@@ -311,7 +312,9 @@
         let ingress = TcpListener::bind(listen.ingress).await?;
         task::spawn(Arc::new(Ingress::new(shared.clone())).serve(ingress, stop.clone()));
         task::spawn(StoreWatcher::new(shared.clone()).run());
-        task::spawn(RolloutLeader::new(shared.clone()).run());
+        if let Some(exposure) = shared.exposure() {
+            task::spawn(RolloutLeader::new(shared.clone(), exposure).run());
+        }
         task::spawn(CrashReporter::new(shared.clone()).run());
         let registration = task::spawn(Registration::new(shared.clone()).run(record_changed));
         task::spawn(expire(shared.clone()));
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -12,7 +12,7 @@
 
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
-    exposure::{Demand, ExposureLedger, Grant, RequestRate},
+    exposure::{Demand, ExposureLedger, ExposureLimit, Grant, RequestRate},
     leadership::{Candidate, LeaderStep, Leadership, ProcessId},
     members::NodeRecord,
     rollout::{Assessor, Evidence, Finding, Phase, RolloutPlan, RolloutProgress, Step, next_step},
@@ -63,6 +63,8 @@
     evidence: BTreeMap<(NodeName, u64), Evidence>,
     /// Requests since the order.
     exposure: ExposureLedger,
+    /// Limit on the requests to a bad version.
+    limit: ExposureLimit,
     /// Requests that upstreams of other versions were running at their owners' last reports.
     old_running: u32,
     /// Revision of the order that the evidence belongs to.
@@ -77,13 +79,14 @@
 }
 
 impl<C: Clock> RolloutLeader<C> {
-    /// Creates a leader that has taken up no rollout.
-    pub fn new(shared: Arc<Shared<C>>) -> Self {
+    /// Creates a leader that has taken up no rollout and keeps to `limit` in all of them.
+    pub fn new(shared: Arc<Shared<C>>, limit: ExposureLimit) -> Self {
         let candidate = Candidate::new(shared.process.clone());
         Self {
             shared,
             evidence: BTreeMap::new(),
             exposure: ExposureLedger::default(),
+            limit,
             old_running: 0,
             order_revision: 0,
             request_rate: RequestRate::default(),
@@ -295,7 +298,7 @@
             old_running: self.old_running,
             counts,
             committed: self.exposure.committed(),
-            exposure: self.shared.exposure(),
+            exposure: self.limit,
         };
         let step = next_step(&plan, &finding, &progress);
         let allowed = progress.exposure.allowed(counts) as u64;
--- a/src/settings/mesh.rs
+++ b/src/settings/mesh.rs
@@ -58,9 +58,11 @@
             "Repeats in one window on top, over the fleet.";
         "retry-window-s", retry_window: Duration, Some("10"), number(1, 3_600, "s"),
             "Length of the sliding window of the retry budget.";
-        "exposure-share", exposure_share: f64, Some("0.1"), Allowed::Decimal { max: 1 },
-            "Share of a service's requests that a bad version may get in its rollout.";
-        "exposure-extra", exposure_extra: f64, Some("50"), Allowed::Decimal { max: 1_000_000 },
+        "exposure-share", exposure_share: Option<f64>, Some("0.1"), Allowed::Decimal { max: 1 },
+            "Share of a service's requests that a bad version may get in its rollout. If this or \
+             the next key is stated without a value, the node leads no rollouts.";
+        "exposure-extra", exposure_extra: Option<f64>, Some("50"),
+            Allowed::Decimal { max: 1_000_000 },
             "Requests that a bad version may get on top.";
         "probes-per-s", probes_per_second: f64, Some("60"), Allowed::Decimal { max: 100_000 },
             "Most health checks a second of one upstream.";
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -47,7 +47,9 @@
         errors
     }
 
-    /// Returns the value of a key of the table, or its default.
+    /// Returns the value of a key of the table, or its default. A platform that fills in a template
+    /// leaves a value empty that it does not have, so the default also applies to a key that is
+    /// stated without a value, unless its type has a meaning for that.
     pub(super) fn value<T: SettingValue>(&mut self, section: &str, name: &str) -> Option<T> {
         let key = self.keys.iter().find(|key| key.section == section && key.name == name)?;
         let Some(entry) = self.entry(section, name) else {
@@ -56,7 +58,9 @@
             }
             return T::parse(key.default?, &key.allowed);
         };
-        let value = T::parse(&entry.value, &key.allowed);
+        let default = key.default.filter(|_| entry.value.is_empty());
+        let value = T::parse(&entry.value, &key.allowed)
+            .or_else(|| default.and_then(|default| T::parse(default, &key.allowed)));
         if value.is_none() {
             let suggestion = match key.allowed {
                 Allowed::OneOf(words) => nearest(&entry.value, words.iter().copied()),
--- a/src/settings/value.rs
+++ b/src/settings/value.rs
@@ -147,6 +147,12 @@
     }
 }
 
+impl<T: SettingValue> SettingValue for Option<T> {
+    fn parse(text: &str, allowed: &Allowed) -> Option<Self> {
+        if text.is_empty() { Some(None) } else { T::parse(text, allowed).map(Some) }
+    }
+}
+
 /// A share in parts per million.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share(pub u32);
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -4,5 +4,6 @@
 #[cfg(feature = "demo")]
 mod demo;
 mod guide;
+mod mesh_settings;
 mod settings;
 mod telemetry;
