Count an owner's failed runs in the order in which owners are asked

Cause: an upstream that fails runs at once frees its slots at once, looked idle and fast, and attracted requests; only those that run at most once avoided it, by refusals of its owner. Change: the owner tells the share of its recent runs that failed with its state. It is a cost in the order of owners for every request, decays like the owner's own figure, and weighs less than having no free slot, so that the capacity is used once the others are full. The owner of the shortest wait is chosen in the same way. A gauge and a log line at changes tell it.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -15,7 +15,9 @@
 use oleandertiller_model::ErrorKind;
 use serde::{Deserialize, Serialize};
 
-use crate::{request_limit::RequestLimit, token_bucket::TokenBucket};
+use crate::{
+    request_limit::RequestLimit, token_bucket::TokenBucket, upstream_capacity::UpstreamCapacity,
+};
 
 /// Longest time for which an upstream counts as cold from one announcement: adding a longer one to the
 /// clock could overflow.
@@ -104,6 +106,8 @@
     /// Expected time until a new request gets a slot.
     #[serde(rename = "expected")]
     pub expected_wait: Duration,
+    /// Learnt capacity of the upstream.
+    pub capacity: UpstreamCapacity,
 }
 
 impl OwnerState {
@@ -446,9 +450,15 @@
             slots: self.slots,
             slowness: self.slowness(),
             expected_wait: by_slots.max(by_rate).max(by_limit),
+            capacity: self.capacity(now),
         }
     }
 
+    /// Returns what is learnt of the upstream's capacity.
+    pub fn capacity(&self, now: Instant) -> UpstreamCapacity {
+        UpstreamCapacity { failures: (self.failure_rate(now) * 100.0).round() as u8 }
+    }
+
     /// Returns the requests per second that fill all slots, by the recent service times.
     pub fn full_rate(&self) -> f64 {
         f64::from(self.slots) / self.service_time.max(0.001)
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`stop`]: the times of a planned stop.
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
+//! - [`upstream_capacity`]: what an owner learns of its upstream's capacity.
 
 pub mod admission_queue;
 pub mod change_feed;
@@ -37,3 +38,4 @@
 pub mod stop;
 pub mod token_bucket;
 pub mod upstream;
+pub mod upstream_capacity;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -36,6 +36,22 @@
 /// Maximum random addition to a cost, which spreads requests over equal owners, in percent.
 const JITTER_PERCENT: f64 = 10.0;
 
+/// Added cost of an owner whose runs all fail, in percent of the usual service time; less in
+/// proportion for one that fails some of them. A failed run is repeated elsewhere, from the retry
+/// budget, and one that may run at most once is lost.
+const FAILURE_COST_PERCENT: f64 = 400.0;
+
+/// Time constant with which the known failures of an owner decay, so that it is tried again. As long
+/// as that of the owner itself.
+const FAILURE_DECAY: Duration = Duration::from_secs(4);
+
+/// Added cost of an owner all of whose slots are in use, which refuses the offer. More than that of
+/// failures, so that the capacity of a failing upstream is used once the others are full.
+const FULL_COST_PERCENT: f64 = 500.0;
+
+/// Wait that a failed run is taken to cost a request that chooses where to wait, in seconds.
+const FAILED_RUN_SECONDS: f64 = 0.4;
+
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -110,33 +126,49 @@
         false if candidate.zone == *zone => OTHER_NODE_COST_PERCENT,
         false => OTHER_ZONE_COST_PERCENT,
     };
-    let (slowness, utilization) = match candidate.state {
+    let (slowness, utilization, known_cost) = match candidate.state {
         Some((state, at)) => {
-            let age = now.saturating_duration_since(at).as_secs_f64();
-            let freshness = (-age / STATE_DECAY.as_secs_f64()).exp();
+            let age = now.saturating_duration_since(at);
+            let freshness = decay(age, STATE_DECAY);
             let slowness = DEFAULT_SLOWNESS_PERCENT
                 + (f64::from(state.slowness) - DEFAULT_SLOWNESS_PERCENT) * freshness;
             let running = f64::from(state.running + state.waiting) * freshness;
             let slots = f64::from(state.slots.max(1));
-            (slowness, running.max(f64::from(candidate.in_flight)) / slots)
+            let failures = f64::from(state.capacity.failures) / 100.0 * decay(age, FAILURE_DECAY);
+            let is_full = state.slots > 0 && state.running + state.waiting >= state.slots;
+            let full_cost = if is_full { FULL_COST_PERCENT * freshness } else { 0.0 };
+            let known_cost = failures * FAILURE_COST_PERCENT + full_cost;
+            (slowness, running.max(f64::from(candidate.in_flight)) / slots, known_cost)
         }
         // Without a state, the number of slots is unknown; four are assumed.
-        None => (DEFAULT_SLOWNESS_PERCENT, f64::from(candidate.in_flight) / 4.0),
+        None => (DEFAULT_SLOWNESS_PERCENT, f64::from(candidate.in_flight) / 4.0, 0.0),
     };
     distance
+        + known_cost
         + slowness * (1.0 + (utilization - 0.5).max(0.0))
         + rng.random::<f64>() * JITTER_PERCENT
 }
 
-/// Returns the owner at which a request should wait once all have refused it: the one with the
-/// shortest expected wait, corrected by its load and slowness.
-pub fn shortest_wait(states: &[(usize, OwnerState)]) -> Option<usize> {
-    let wait = |state: &OwnerState| {
+/// Returns the weight that remains of what was learnt `age` ago.
+fn decay(age: Duration, time_constant: Duration) -> f64 {
+    (-age.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
+
+/// Returns the owner at which a request should wait for at most `max_wait` once all have refused it:
+/// the one with the shortest expected wait, corrected by its load, slowness and failures. An owner
+/// that is not expected to start the request in time comes only if all are like it.
+pub fn shortest_wait(states: &[(usize, OwnerState)], max_wait: Duration) -> Option<usize> {
+    let cost = |state: &OwnerState| {
         let slowness = f64::from(state.slowness) / 100.0;
         let load = f64::from(state.running + state.waiting) / f64::from(state.slots.max(1));
+        let failures = f64::from(state.capacity.failures) / 100.0;
         // Adds 50 ms if all slots are in use at the usual speed.
-        state.expected_wait.as_secs_f64() + 0.05 * slowness * load
+        state.expected_wait.as_secs_f64() + 0.05 * slowness * load + FAILED_RUN_SECONDS * failures
     };
-    let best = states.iter().min_by(|(_, one), (_, other)| wait(one).total_cmp(&wait(other)));
+    let key = |state: &OwnerState| (state.expected_wait > max_wait, cost(state));
+    let best = states.iter().min_by(|(_, one), (_, other)| {
+        let ((one_late, one), (other_late, other)) = (key(one), key(other));
+        one_late.cmp(&other_late).then(one.total_cmp(&other))
+    });
     best.map(|(index, _)| *index)
 }
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -9,13 +9,15 @@
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, OwnerState, PriorityClass},
     placement::{Candidate, shortest_wait, sort_by_cost},
+    upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::NodeName;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 fn state(running: u32, slowness: u32, wait_ms: u64) -> OwnerState {
     let expected_wait = Duration::from_millis(wait_ms);
-    OwnerState { running, waiting: 0, slots: 6, slowness, expected_wait }
+    let capacity = UpstreamCapacity::UNKNOWN;
+    OwnerState { running, waiting: 0, slots: 6, slowness, expected_wait, capacity }
 }
 
 fn candidate(node: &str, zone: &str, state: Option<(OwnerState, Instant)>) -> Candidate {
@@ -58,6 +60,29 @@
     assert_eq!(first(vec![long_ago, far()], now + Duration::from_secs(2)), "near");
 }
 
+/// Returns the state of an owner whose upstream fails runs, and so has a slot at once.
+fn failing(running: u32, failures: u8) -> OwnerState {
+    OwnerState { capacity: UpstreamCapacity { failures }, ..state(running, 100, 0) }
+}
+
+/// Guards against an owner that attracts requests because its upstream fails them at once, against
+/// one whose capacity is unused while all others are full, and against one that is never tried
+/// again.
+#[test]
+fn failing_owners_come_after_others_with_capacity() {
+    let now = Instant::now();
+    let good = |running| candidate("good", "z1", Some((state(running, 100, 0), now)));
+    let far = candidate("far", "z2", Some((state(4, 100, 0), now)));
+    let bad = |failures| candidate("here", "z1", Some((failing(0, failures), now)));
+    assert_eq!(first(vec![bad(40), good(4)], now), "good");
+    assert_eq!(first(vec![bad(40), far], now), "far");
+    assert_eq!(first(vec![bad(100), good(6)], now), "here", "the other has no free slot");
+    assert_eq!(first(vec![bad(4), good(5)], now), "here", "a single failure has little weight");
+    let later = now + Duration::from_secs(12);
+    let far = candidate("far", "z2", Some((state(0, 100, 0), now)));
+    assert_eq!(first(vec![bad(100), far], later), "here", "it is tried again");
+}
+
 /// Guards against a new server that no other node ever asks: one of the same zone comes first, one
 /// of another zone for some of the requests.
 #[test]
@@ -183,7 +208,12 @@
 /// Guards against waiting where no slot is expected soon.
 #[test]
 fn requests_wait_where_a_slot_is_expected_soonest() {
+    let wait = Duration::from_secs(1);
     let states = [(0, state(6, 100, 300)), (1, state(6, 100, 60)), (2, state(6, 500, 200))];
-    assert_eq!(shortest_wait(&states), Some(1));
-    assert_eq!(shortest_wait(&[]), None);
+    assert_eq!(shortest_wait(&states, wait), Some(1));
+    assert_eq!(shortest_wait(&[], wait), None);
+    let failing = [(0, state(6, 100, 100)), (1, failing(6, 60))];
+    assert_eq!(shortest_wait(&failing, wait), Some(0));
+    // The good one would start it too late.
+    assert_eq!(shortest_wait(&failing, Duration::from_millis(50)), Some(1));
 }
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -19,6 +19,7 @@
     members::NodeRecord,
     placement::{Candidate, shortest_wait, sort_by_cost},
     rollout::AllowedVersions,
+    upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
 use oleandertiller_platform::header;
@@ -279,7 +280,7 @@
             }
             let indexed_states: Vec<_> =
                 states.iter().enumerate().map(|(index, (_, state))| (index, *state)).collect();
-            let Some(best) = shortest_wait(&indexed_states) else {
+            let Some(best) = shortest_wait(&indexed_states, time_left(wait_end, now)) else {
                 return (this_node, End::NotRun { why, arrived: false });
             };
             let record = states[best].0.clone();
@@ -603,8 +604,14 @@
 }
 
 /// State that is assumed for an owner whose reply was lost.
-const UNKNOWN_STATE: OwnerState =
-    OwnerState { running: 0, waiting: 0, slots: 0, slowness: 100, expected_wait: Duration::ZERO };
+const UNKNOWN_STATE: OwnerState = OwnerState {
+    running: 0,
+    waiting: 0,
+    slots: 0,
+    slowness: 100,
+    expected_wait: Duration::ZERO,
+    capacity: UpstreamCapacity::UNKNOWN,
+};
 
 /// Ends an offer in this node's count of requests in flight to its owner when it is dropped.
 struct InFlightCountGuard<'a, C: Clock> {
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -125,6 +125,7 @@
     config: Gauge,
     nodes: Gauge,
     request_limit: Gauge<f64, AtomicU64>,
+    upstream_failures: Gauge,
     store_era: Gauge,
     rollout_requests: Gauge,
     rollout_allowed_requests: Gauge,
@@ -166,6 +167,12 @@
             "Requests per second that the local upstream accepts, -1 without a limit",
             request_limit.clone(),
         );
+        let upstream_failures = Gauge::default();
+        registry.register(
+            "upstream_failures_percent",
+            "Recent runs on the local upstream that failed, in percent",
+            upstream_failures.clone(),
+        );
         let (rollout_requests, rollout_allowed_requests) = (Gauge::default(), Gauge::default());
         registry.register(
             "rollout_requests",
@@ -188,6 +195,7 @@
             config,
             nodes,
             request_limit,
+            upstream_failures,
             store_era,
             rollout_requests,
             rollout_allowed_requests,
@@ -241,6 +249,11 @@
         self.request_limit.set(per_second.unwrap_or(NO_REQUEST_LIMIT));
     }
 
+    /// Sets the share of recent runs on the local upstream that failed, in percent.
+    pub fn set_upstream_failures(&self, percent: u8) {
+        self.upstream_failures.set(percent.into());
+    }
+
     /// Sets how many requests the new version got in the rollout that this node leads, and how many
     /// a bad version may have got by now.
     pub fn set_exposure(&self, requests: u64, allowed: u64) {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -24,6 +24,7 @@
     rollout::Evidence,
     stop::StopSchedule,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
+    upstream_capacity::FailingState,
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
 use oleandertiller_platform::header::is_nested_id;
@@ -56,6 +57,7 @@
     vetoed: bool,
     exposure: OwnerExposure,
     suspects: CrashSuspects,
+    failing: FailingState,
 }
 
 /// A request that the upstream is running.
@@ -183,6 +185,7 @@
             vetoed: false,
             exposure: OwnerExposure::default(),
             suspects: CrashSuspects::default(),
+            failing: FailingState::default(),
         };
         let health_conn = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -199,7 +199,14 @@
             let made_calls = inner.running.iter().any(|run| run.id == offer.id && run.made_calls);
             // If the request made nested calls, another service may have caused its failure.
             if result.is_some() || !made_calls || matches!(end, End::Unknown(_)) {
-                inner.queue.record_outcome(result.is_none(), self.clock.now());
+                let now = self.clock.now();
+                inner.queue.record_outcome(result.is_none(), now);
+                let failures = inner.queue.capacity(now).failures;
+                self.metrics.set_upstream_failures(failures);
+                if let Some(failing) = inner.failing.update(failures) {
+                    log::warn!(upstream = &*announcement.incarnation.id, failing = failing,
+                        percent = failures; "share of failed runs of the upstream changed");
+                }
             }
         }
         self.lock().evidence.record(&announcement.version, &offer.route, result);
