--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -230,8 +230,31 @@
     last_number: u64,
     /// The highest priority that has recently found no slot, and when.
     starved: Option<(Instant, (PriorityClass, u32))>,
-    /// Share of recent runs that failed, and when the last run ended.
-    failure_rate: (f64, Option<Instant>),
+    /// Share of recent runs that failed.
+    failures: DecayingShare,
+    /// Share of recent requests that the upstream refused.
+    refusals: DecayingShare,
+}
+
+/// A smoothed share of recent events. It decays, so that an upstream that was avoided is tried again.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingShare {
+    share: f64,
+    recorded_at: Option<Instant>,
+}
+
+impl DecayingShare {
+    fn record(&mut self, hit: bool, now: Instant) {
+        let previous = self.at(now);
+        let result = if hit { 1.0 } else { 0.0 };
+        self.share = previous + (result - previous) * FAILURE_RATE_SMOOTHING;
+        self.recorded_at = Some(now);
+    }
+
+    fn at(&self, now: Instant) -> f64 {
+        let age = self.recorded_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.share * (-age.as_secs_f64() / FAILURE_RATE_DECAY.as_secs_f64()).exp()
+    }
 }
 
 impl Default for AdmissionQueue {
@@ -250,7 +273,8 @@
             granted: BTreeSet::new(),
             last_number: 0,
             starved: None,
-            failure_rate: (0.0, None),
+            failures: DecayingShare::default(),
+            refusals: DecayingShare::default(),
         }
     }
 }
@@ -325,8 +349,7 @@
             return Admission::Refuse(ErrorKind::DeadlineExceeded);
         }
         // Other owners are asked first; if they refuse it, too, it may start here.
-        if request.at_most_once && !request.allow_slow && self.failure_rate(now) > MAX_FAILURE_RATE
-        {
+        if request.at_most_once && !request.allow_slow && self.failures.at(now) > MAX_FAILURE_RATE {
             return Admission::Refuse(ErrorKind::Overloaded);
         }
         let may_wait = request.wait_until > now;
@@ -413,17 +436,14 @@
 
     /// Records the end of a run; `failed` if no good answer came from the upstream.
     pub fn record_outcome(&mut self, failed: bool, now: Instant) {
-        let result = if failed { 1.0 } else { 0.0 };
-        let previous = self.failure_rate(now);
-        self.failure_rate = (previous + (result - previous) * FAILURE_RATE_SMOOTHING, Some(now));
+        self.failures.record(failed, now);
+        self.refusals.record(false, now);
     }
 
-    /// Returns the share of recent runs that failed. It decays, so that an upstream that was
-    /// avoided is tried again.
-    fn failure_rate(&self, now: Instant) -> f64 {
-        let (rate, at) = self.failure_rate;
-        let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        rate * (-age.as_secs_f64() / FAILURE_RATE_DECAY.as_secs_f64()).exp()
+    /// Records that the upstream has refused a request. Requests that run at most once are not kept
+    /// away from it, since a refused request has not run.
+    pub fn record_refusal(&mut self, now: Instant) {
+        self.refusals.record(true, now);
     }
 
     /// Returns the number of waiting requests.
@@ -456,7 +476,8 @@
 
     /// Returns what is learnt of the upstream's capacity.
     pub fn capacity(&self, now: Instant) -> UpstreamCapacity {
-        UpstreamCapacity { failures: (self.failure_rate(now) * 100.0).round() as u8 }
+        let failures = self.failures.at(now).max(self.refusals.at(now));
+        UpstreamCapacity { failures: (failures * 100.0).round() as u8 }
     }
 
     /// Returns the requests per second that fill all slots, by the recent service times.
--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -26,6 +26,30 @@
 /// count in different windows.
 const SAFETY_FACTOR: f64 = 0.7;
 
+/// Share of the allowed retries that hedges may use. When upstreams refuse or fail a part of their
+/// requests at once, hundreds of requests a second need one retry each, and that is sure to help,
+/// while a hedged request may still be answered by its first upstream.
+const HEDGE_SHARE: f64 = 0.5;
+
+/// What a retry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryReason {
+    /// An upstream has refused the request, or its run has failed.
+    Failed,
+    /// An upstream has not answered for longer than usual.
+    Slow,
+}
+
+impl RetryReason {
+    /// Returns the share of the allowed retries that may be used up for this reason.
+    fn budget_share(self) -> f64 {
+        match self {
+            Self::Failed => 1.0,
+            Self::Slow => HEDGE_SHARE,
+        }
+    }
+}
+
 /// Retry budget of this node for one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -48,13 +72,14 @@
     }
 
     /// Takes one retry if the budget allows it, where `nodes` share the fixed number.
-    pub fn try_take(&mut self, nodes: usize, now: Instant) -> bool {
+    pub fn try_take(&mut self, reason: RetryReason, nodes: usize, now: Instant) -> bool {
         self.expire(now);
         let earned = self.requests.len() as f64 * self.cfg.ratio;
         let uptime = now.saturating_duration_since(self.started_at).as_secs_f64();
         let ramp = (uptime / self.cfg.window.as_secs_f64()).min(1.0);
         let share = self.cfg.extra * ramp / nodes.max(1) as f64;
-        if self.retries.len() as f64 + 1.0 > (earned + share) * SAFETY_FACTOR {
+        let allowed = (earned + share) * SAFETY_FACTOR * reason.budget_share();
+        if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
         self.retries.push_back(now);
--- a/crates/mesh/src/upstream_capacity.rs
+++ b/crates/mesh/src/upstream_capacity.rs
@@ -18,7 +18,7 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct UpstreamCapacity {
-    /// Share of the recent runs that failed, in percent.
+    /// Share of the recent requests that the upstream failed or refused, in percent.
     pub failures: u8,
 }
 
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -13,7 +13,7 @@
     leadership::{Leadership, ProcessId},
     members::{Member, Members, NodeRecord},
     placement::Candidate,
-    retry_budget::{RetryBudget, RetryBudgetConfig},
+    retry_budget::{RetryBudget, RetryBudgetConfig, RetryReason},
     rollout::{AllowedVersions, Phase, RolloutPlan},
     upstream::{Incarnation, Stage},
 };
@@ -310,10 +310,10 @@
     }
 
     /// Takes a retry from the service's budget; returns whether the budget allows it.
-    pub fn take_retry(&mut self, service: &ServiceName, now: Instant) -> bool {
+    pub fn take_retry(&mut self, service: &ServiceName, reason: RetryReason, now: Instant) -> bool {
         let nodes = self.members.peak_count();
         // The fixed part of the budget is divided among all nodes, so they must be known.
-        nodes > 0 && self.budget(service).try_take(nodes, now)
+        nodes > 0 && self.budget(service).try_take(reason, nodes, now)
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -18,6 +18,7 @@
     crash_suspects,
     members::NodeRecord,
     placement::{Candidate, shortest_wait, sort_by_cost},
+    retry_budget::RetryReason,
     rollout::AllowedVersions,
     upstream_capacity::UpstreamCapacity,
 };
@@ -169,7 +170,7 @@
             return None;
         }
         // The budget comes first, so that no owner starts a request that the budget then forbids.
-        if !self.shared.deployment().take_retry(&request.service, now) {
+        if !self.shared.deployment().take_retry(&request.service, RetryReason::Slow, now) {
             self.shared.metrics.count_decision(Decision::Hedge, "no-budget");
             return None;
         }
@@ -229,7 +230,8 @@
             };
             let now = self.shared.clock.now();
             let may_retry = request.is_idempotent() && may_try_another && now < request.deadline;
-            let retry = may_retry && self.shared.deployment().take_retry(&request.service, now);
+            let retry = may_retry
+                && self.shared.deployment().take_retry(&request.service, RetryReason::Failed, now);
             if may_retry {
                 let reason = if retry { "failed" } else { "no-budget" };
                 self.shared.metrics.count_decision(Decision::Retry, reason);
@@ -354,9 +356,9 @@
                         _ => {}
                     }
                 }
-                Ok(Reply { end, .. }) => {
+                Ok(reply) => {
                     if let Some((node, end)) =
-                        self.on_reached_upstream(request, attempts, &record, end)
+                        self.on_reached_upstream(request, attempts, &record, reply)
                     {
                         return RoundOutcome::Ended(node, end);
                     }
@@ -383,7 +385,7 @@
                 attempts.record_hop(&record.node, why.answer().name);
                 None
             }
-            Ok(Reply { end, .. }) => self.on_reached_upstream(request, attempts, record, end),
+            Ok(reply) => self.on_reached_upstream(request, attempts, record, reply),
         }
     }
 
@@ -394,15 +396,20 @@
         request: &ClientRequest,
         attempts: &Attempts,
         record: &Arc<NodeRecord>,
-        end: End,
+        reply: Reply,
     ) -> Option<(NodeName, End)> {
+        let Reply { end, state } = reply;
         attempts.lock().upstreams_reached += 1;
         match end {
             End::NotRun { why, .. } => {
                 attempts.record_hop(&record.node, "refused-by-upstream");
                 attempts.lock().excluded.push(record.node.clone());
                 let now = self.shared.clock.now();
-                let retry = self.shared.deployment().take_retry(&request.service, now);
+                let retry =
+                    self.shared.deployment().take_retry(&request.service, RetryReason::Failed, now);
+                if !retry {
+                    attempts.lock().expected_wait = Some(state.expected_wait);
+                }
                 (!retry).then(|| (record.node.clone(), End::NotRun { why, arrived: true }))
             }
             End::Answered(response) => {
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -192,7 +192,12 @@
             End::Answered(response) if response.status == STATUS_GATEWAY_TIMEOUT => Some(time),
             End::Unknown(ErrorKind::UpstreamTimeout) => Some(time),
             End::Answered(_) | End::Unknown(_) => None,
-            End::NotRun { .. } => return,
+            End::NotRun { arrived, .. } => {
+                if *arrived {
+                    self.lock().queue.record_refusal(self.clock.now());
+                }
+                return;
+            }
         };
         {
             let mut inner = self.lock();
