Learn what an upstream can complete, and offer where capacity is free

Cause: owners were ordered by the slots in use at their last answer, without what this node had sent since; recently full ones were asked again; slots above the knee were filled although an upstream may then complete less; requests that only the upstream counts used no slot at its owner. Change: the owner tells its free capacity and its slowness over the last seconds. It measures the slow-down above 80% of the slots and leaves the last slots free if all together complete less; requests that the upstream reports beyond its own count use slots; refusals by the upstream count as failed runs. The ingress knows its own owner exactly, counts what it has sent since a state arrived, does not ask owners whose state of the last 100 ms shows no capacity, and chooses the better of two random good owners. The order is computed on indices, without copies of all candidates.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -16,7 +16,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    request_limit::RequestLimit, token_bucket::TokenBucket, upstream_capacity::UpstreamCapacity,
+    request_limit::RequestLimit,
+    token_bucket::TokenBucket,
+    upstream_capacity::{SlownessEstimate, UncountedRequests, UpstreamCapacity},
 };
 
 /// Longest time for which an upstream counts as cold from one announcement: adding a longer one to the
@@ -232,6 +234,10 @@
     starved: Option<(Instant, (PriorityClass, u32))>,
     /// Share of recent runs that failed, and when the last run ended.
     failure_rate: (f64, Option<Instant>),
+    /// Slots that are worth using when all are needed.
+    useful_slots: u32,
+    uncounted: UncountedRequests,
+    slowness_estimate: SlownessEstimate,
 }
 
 impl Default for AdmissionQueue {
@@ -251,6 +257,9 @@
             last_number: 0,
             starved: None,
             failure_rate: (0.0, None),
+            useful_slots: u32::MAX,
+            uncounted: UncountedRequests::default(),
+            slowness_estimate: SlownessEstimate::default(),
         }
     }
 }
@@ -305,6 +314,10 @@
     pub fn on_load(&mut self, load: UpstreamLoad, now: Instant) {
         self.load = load;
         self.load_at = Some(now);
+        self.uncounted.on_report(load.running + load.waiting, self.running, now);
+        if let Some(slowness) = load.slowness {
+            self.slowness_estimate.on_report(slowness, now);
+        }
         if let (Some(cold), Some(slowness)) = (&mut self.cold, load.slowness) {
             let lowest = cold.min_slowness.map_or(slowness, |lowest| lowest.min(slowness));
             cold.min_slowness = Some(lowest);
@@ -338,13 +351,14 @@
                 return Admission::Refuse(ErrorKind::Overloaded);
             }
             (PriorityClass::Hedge, _) => self.slots / 2,
-            (PriorityClass::Nested, _) | (_, true) => self.slots,
+            (PriorityClass::Nested, _) => self.slots,
+            (_, true) => self.usable_slots(),
             (_, false) => self.soft_limit(),
         };
         let limit = limit.saturating_sub(self.reserve(request.class, request.rank, now)).max(1);
         let priority = (request.class, request.rank);
         let is_first = self.waiting.keys().next().is_none_or(|t| (t.class, t.rank) > priority);
-        if is_first && self.may_start(&request) && self.running < limit {
+        if is_first && self.may_start(&request) && self.used(now) < limit {
             return match self.check_rates(now) {
                 None => {
                     self.start();
@@ -378,8 +392,12 @@
             return Some(Dequeued::Refuse(ticket, kind));
         }
         let reserve = self.reserve(ticket.class, ticket.rank, now);
-        let limit = self.slots.saturating_sub(reserve).max(1);
-        if self.may_start(&request) && self.running < limit && self.check_rates(now).is_none() {
+        let slots = match ticket.class {
+            PriorityClass::Nested => self.slots,
+            _ => self.usable_slots(),
+        };
+        let limit = slots.saturating_sub(reserve).max(1);
+        if self.may_start(&request) && self.used(now) < limit && self.check_rates(now).is_none() {
             self.waiting.remove(&ticket);
             self.granted.insert(ticket);
             self.start();
@@ -435,8 +453,8 @@
     /// only requests that start before it delay it.
     pub fn state(&self, class: PriorityClass, rank: u32, now: Instant) -> OwnerState {
         let before = self.waiting.keys().filter(|t| (t.class, t.rank) <= (class, rank)).count();
-        let ahead = (self.running as usize + before + 1) as f64;
-        let slots = f64::from(self.slots.max(1));
+        let ahead = (self.used(now) as usize + before + 1) as f64;
+        let slots = f64::from(self.usable_slots().max(1));
         let rounds = ((ahead - slots) / slots).max(0.0);
         let by_slots = Duration::from_secs_f64(self.service_time * rounds);
         let by_rate = self
@@ -448,15 +466,56 @@
             running: self.running,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            slowness: self.slowness(),
+            // Without a recent report, a slow period that it told is likely to be over.
+            slowness: self.slowness_estimate.expected(now).round() as u32,
             expected_wait: by_slots.max(by_rate).max(by_limit),
-            capacity: self.capacity(now),
+            capacity: UpstreamCapacity { free: self.free(class, now), ..self.capacity(now) },
         }
     }
 
     /// Returns what is learnt of the upstream's capacity.
     pub fn capacity(&self, now: Instant) -> UpstreamCapacity {
-        UpstreamCapacity { failures: (self.failure_rate(now) * 100.0).round() as u8 }
+        let failures = (self.failure_rate(now) * 100.0).round() as u8;
+        UpstreamCapacity {
+            failures,
+            free: self.free(PriorityClass::Timely, now),
+            usual_slowness: self.slowness_estimate.usual().round() as u16,
+        }
+    }
+
+    /// Sets how many of the slots are worth using when all are needed.
+    pub fn set_useful_slots(&mut self, slots: u32) {
+        self.useful_slots = slots;
+    }
+
+    /// Returns how many of the slots are worth using when all are needed.
+    pub fn useful_slots(&self) -> u32 {
+        self.useful_slots
+    }
+
+    /// Returns whether the upstream is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the number of requests of a class that could start at once at normal speed.
+    fn free(&self, class: PriorityClass, now: Instant) -> u16 {
+        if self.closed_reason.is_some() || !self.waiting.is_empty() {
+            return 0;
+        }
+        let limit = if class == PriorityClass::Nested { self.slots } else { self.soft_limit() };
+        let free = f64::from(limit.saturating_sub(self.used(now)));
+        let cold = self.cold.as_ref().map_or(f64::MAX, |cold| cold.bucket.available(now));
+        free.min(cold).min(self.limit.available(now)) as u16
+    }
+
+    /// Returns the slots that are in use, also by requests that only the upstream counts.
+    fn used(&self, now: Instant) -> u32 {
+        self.running + self.uncounted.count(now)
+    }
+
+    fn usable_slots(&self) -> u32 {
+        self.slots.min(self.useful_slots.max(1))
     }
 
     /// Returns the requests per second that fill all slots, by the recent service times.
@@ -488,7 +547,8 @@
         }
     }
 
-    fn soft_limit(&self) -> u32 {
+    /// Returns the slots up to which requests start while other owners may have capacity.
+    pub fn soft_limit(&self) -> u32 {
         ((f64::from(self.slots) * SOFT_LIMIT_SHARE) as u32).max(1)
     }
 
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -2,7 +2,10 @@
 //!
 //! What an ingress knows of an owner is as old as the owner's last answer, and an owner refuses
 //! what it cannot run well, so the order need not be exact. Near owners come first, since traffic
-//! between zones has a cost, and among them the least loaded one.
+//! between zones has a cost, and among them the least loaded one. The better of two random ones
+//! among the good owners comes first: if all ingresses asked the same best one, most would be
+//! refused. Each refusal is a round trip, so an owner whose recent state shows no capacity is not
+//! asked; the request may wait there instead.
 //!
 //! An owner whose upstream has named a limit on its requests is idle most of the time and would
 //! always look best, although it refuses nearly all offers of a large fleet. One such owner may
@@ -14,7 +17,7 @@
 use oleandertiller_model::{NodeName, ZoneName};
 use rand::Rng;
 
-use crate::admission_queue::OwnerState;
+use crate::{admission_queue::OwnerState, peer_health::PeerHealth, upstream_capacity::decay};
 
 /// Time constant with which the weight of an owner's last known state decays.
 const STATE_DECAY: Duration = Duration::from_millis(150);
@@ -41,17 +44,24 @@
 /// budget, and one that may run at most once is lost.
 const FAILURE_COST_PERCENT: f64 = 400.0;
 
-/// Time constant with which the known failures of an owner decay, so that it is tried again. As long
-/// as that of the owner itself.
-const FAILURE_DECAY: Duration = Duration::from_secs(4);
+/// Time constant with which the known failures and the usual slowness of an owner decay, so that it
+/// is tried again. As long as that of the failures at the owner itself.
+const CAPACITY_DECAY: Duration = Duration::from_secs(4);
 
-/// Added cost of an owner all of whose slots are in use, which refuses the offer. More than that of
-/// failures, so that the capacity of a failing upstream is used once the others are full.
+/// Added cost of an owner without capacity, which refuses the offer. More than that of failures, so
+/// that the capacity of a failing upstream is used once the others are full.
 const FULL_COST_PERCENT: f64 = 500.0;
 
 /// Wait that a failed run is taken to cost a request that chooses where to wait, in seconds.
 const FAILED_RUN_SECONDS: f64 = 0.4;
 
+/// Costs up to this much above the lowest one count as equally good, in percent of the usual service
+/// time: less than the cost of another zone.
+const GOOD_COST_SPAN_PERCENT: f64 = 20.0;
+
+/// Weight of an owner's state above which its lack of capacity is trusted: one of up to 100 ms.
+const TRUSTED_FRESHNESS: f64 = 0.5;
+
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -59,10 +69,8 @@
     pub node: NodeName,
     /// Its availability zone.
     pub zone: ZoneName,
-    /// Its last known state, and when that arrived.
-    pub state: Option<(OwnerState, Instant)>,
-    /// Requests that this node has sent to it and that are not answered yet.
-    pub in_flight: u32,
+    /// Its last known state and the requests of this node to it.
+    pub health: PeerHealth,
     /// Whether this node has sent it any request.
     pub tried: bool,
     /// Whether its upstream has named a limit on its requests.
@@ -72,76 +80,130 @@
 impl Candidate {
     /// Returns whether the owner has told that its upstream's limit allows no request yet.
     fn is_exhausted(&self, now: Instant) -> bool {
-        let exhausted_until = self.state.map(|(state, at)| at + state.expected_wait);
+        let exhausted_until = self.health.state().map(|(state, at)| at + state.expected_wait);
         self.limited && exhausted_until.is_some_and(|until| now < until)
     }
+
+    /// Returns the owner's state if it is recent and shows that an offer would be refused for want
+    /// of capacity. Its expected wait is the time that remains of it.
+    pub fn refusing_state(&self, now: Instant) -> Option<OwnerState> {
+        let (state, at) = self.health.state()?;
+        let age = now.saturating_duration_since(at);
+        let is_full = lacks_capacity(&state, &self.health, age) >= TRUSTED_FRESHNESS;
+        let expected_wait = state.expected_wait.saturating_sub(age);
+        is_full.then_some(OwnerState { expected_wait, ..state })
+    }
+}
+
+/// Where an ingress is.
+#[derive(Clone, Copy, Debug)]
+pub struct Position<'a> {
+    /// Its node.
+    pub node: &'a NodeName,
+    /// Its availability zone.
+    pub zone: &'a ZoneName,
 }
 
-/// Sorts candidates by expected cost, the cheapest first. An owner of the same zone that this
-/// ingress has never asked comes first once, so that its state becomes known; those of other zones
-/// come first for a small share of the requests.
-pub fn sort_by_cost(
-    candidates: &mut [Candidate],
-    node: &NodeName,
-    zone: &ZoneName,
+/// Returns the indices of candidates in the order in which they are asked. An owner of the same zone
+/// that this ingress has never asked comes first once, so that its state becomes known; those of
+/// other zones come first for a small share of the requests.
+pub fn order_by_cost(
+    candidates: &[Candidate],
+    position: Position<'_>,
     now: Instant,
     rng: &mut impl Rng,
-) {
+) -> Vec<usize> {
     let explores_other_zones = rng.random_bool(EXPLORE_OTHER_ZONES_SHARE);
-    let mut costs: Vec<(f64, Candidate)> = candidates
+    let mut costs: Vec<(f64, usize)> = candidates
         .iter()
-        .map(|candidate| {
-            (cost(candidate, node, zone, explores_other_zones, now, rng), candidate.clone())
+        .enumerate()
+        .map(|(index, candidate)| {
+            (cost(candidate, position, explores_other_zones, now, rng), index)
         })
         .collect();
-    costs.sort_by(|(one, _), (other, _)| one.total_cmp(other));
-    let first_limited =
-        costs.iter().position(|(_, candidate)| candidate.limited && !candidate.is_exhausted(now));
-    let first_limited = first_limited.map(|index| costs[index].1.node.clone());
-    // Stable, so that owners of the same group stay in the order of their costs.
-    costs.sort_by_key(|(_, candidate)| {
-        (
-            candidate.limited && first_limited.as_ref() != Some(&candidate.node),
-            candidate.is_exhausted(now),
-        )
-    });
-    for (place, (_, candidate)) in candidates.iter_mut().zip(costs) {
-        *place = candidate;
+    costs.sort_unstable_by(|(one, _), (other, _)| one.total_cmp(other));
+    if candidates.iter().any(|candidate| candidate.limited) {
+        let first_limited = costs.iter().map(|(_, index)| *index).find(|index| {
+            let candidate = &candidates[*index];
+            candidate.limited && !candidate.is_exhausted(now)
+        });
+        // Stable, so that owners of the same group stay in the order of their costs.
+        costs.sort_by_key(|(_, index)| {
+            let candidate = &candidates[*index];
+            (candidate.limited && first_limited != Some(*index), candidate.is_exhausted(now))
+        });
+    }
+    choose_of_two(&mut costs, candidates, position, rng);
+    costs.into_iter().map(|(_, index)| index).collect()
+}
+
+/// Moves the better of two random good owners to the front, unless the first is this node or one
+/// that is to be explored.
+fn choose_of_two(
+    costs: &mut [(f64, usize)],
+    candidates: &[Candidate],
+    position: Position<'_>,
+    rng: &mut impl Rng,
+) {
+    let Some(&(lowest, best)) = costs.first() else { return };
+    if candidates[best].node == *position.node || candidates[best].limited || lowest < 0.0 {
+        return;
+    }
+    let is_good = |(cost, index): &(f64, usize)| {
+        *cost <= lowest + GOOD_COST_SPAN_PERCENT && !candidates[*index].limited
+    };
+    let good = costs.iter().take_while(|entry| is_good(entry)).count();
+    let chosen = rng.random_range(0..good).min(rng.random_range(0..good));
+    costs[..=chosen].rotate_right(1);
+}
+
+/// Returns how sure it is, from 0 to 1, that an owner has no capacity for one more offer.
+fn lacks_capacity(state: &OwnerState, health: &PeerHealth, age: Duration) -> f64 {
+    let has_free = u32::from(state.capacity.free) > health.sent_since();
+    if state.slots == 0 || has_free {
+        return 0.0;
     }
+    // Until the wait is over that it told, nothing has changed.
+    let waits = health.sent_since() == 0 && age < state.expected_wait;
+    if waits { 1.0 } else { decay(age, STATE_DECAY) }
 }
 
 fn cost(
     candidate: &Candidate,
-    node: &NodeName,
-    zone: &ZoneName,
+    position: Position<'_>,
     explores_other_zones: bool,
     now: Instant,
     rng: &mut impl Rng,
 ) -> f64 {
-    if !candidate.tried && (candidate.zone == *zone || explores_other_zones) {
+    let same_zone = candidate.zone == *position.zone;
+    if !candidate.tried && (same_zone || explores_other_zones) {
         return rng.random::<f64>() - 1.0;
     }
-    let distance = match candidate.node == *node {
+    let distance = match candidate.node == *position.node {
         true => 0.0,
-        false if candidate.zone == *zone => OTHER_NODE_COST_PERCENT,
+        false if same_zone => OTHER_NODE_COST_PERCENT,
         false => OTHER_ZONE_COST_PERCENT,
     };
-    let (slowness, utilization, known_cost) = match candidate.state {
+    let health = &candidate.health;
+    let in_flight = f64::from(health.in_flight());
+    let (slowness, utilization, known_cost) = match health.state() {
         Some((state, at)) => {
             let age = now.saturating_duration_since(at);
             let freshness = decay(age, STATE_DECAY);
-            let slowness = DEFAULT_SLOWNESS_PERCENT
-                + (f64::from(state.slowness) - DEFAULT_SLOWNESS_PERCENT) * freshness;
-            let running = f64::from(state.running + state.waiting) * freshness;
+            let usual = DEFAULT_SLOWNESS_PERCENT
+                + (f64::from(state.capacity.usual_slowness) - DEFAULT_SLOWNESS_PERCENT)
+                    * decay(age, CAPACITY_DECAY);
+            let slowness = usual + (f64::from(state.slowness) - usual) * freshness;
+            let running = f64::from(state.running + state.waiting) * freshness
+                + f64::from(health.sent_since());
             let slots = f64::from(state.slots.max(1));
-            let failures = f64::from(state.capacity.failures) / 100.0 * decay(age, FAILURE_DECAY);
-            let is_full = state.slots > 0 && state.running + state.waiting >= state.slots;
-            let full_cost = if is_full { FULL_COST_PERCENT * freshness } else { 0.0 };
-            let known_cost = failures * FAILURE_COST_PERCENT + full_cost;
-            (slowness, running.max(f64::from(candidate.in_flight)) / slots, known_cost)
+            let failures = f64::from(state.capacity.failures) / 100.0 * decay(age, CAPACITY_DECAY);
+            let known_cost = failures * FAILURE_COST_PERCENT
+                + lacks_capacity(&state, health, age) * FULL_COST_PERCENT;
+            (slowness, running.max(in_flight) / slots, known_cost)
         }
         // Without a state, the number of slots is unknown; four are assumed.
-        None => (DEFAULT_SLOWNESS_PERCENT, f64::from(candidate.in_flight) / 4.0, 0.0),
+        None => (DEFAULT_SLOWNESS_PERCENT, in_flight / 4.0, 0.0),
     };
     distance
         + known_cost
@@ -149,11 +211,6 @@
         + rng.random::<f64>() * JITTER_PERCENT
 }
 
-/// Returns the weight that remains of what was learnt `age` ago.
-fn decay(age: Duration, time_constant: Duration) -> f64 {
-    (-age.as_secs_f64() / time_constant.as_secs_f64()).exp()
-}
-
 /// Returns the owner at which a request should wait for at most `max_wait` once all have refused it:
 /// the one with the shortest expected wait, corrected by its load, slowness and failures. An owner
 /// that is not expected to start the request in time comes only if all are like it.
--- a/crates/mesh/src/request_limit.rs
+++ b/crates/mesh/src/request_limit.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Returns the number of requests that the limit allows at once.
+    pub fn available(&self, now: Instant) -> f64 {
+        self.bucket.as_ref().map_or(f64::MAX, |bucket| bucket.available(now))
+    }
+
     /// Returns the time until the limit allows one more request after `before` others.
     pub fn expected_wait(&self, before: usize, now: Instant) -> Duration {
         let wait = |bucket: &TokenBucket| bucket.time_until(before as f64 + 1.0, now);
--- a/crates/mesh/src/token_bucket.rs
+++ b/crates/mesh/src/token_bucket.rs
@@ -58,6 +58,13 @@
         Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
+    /// Returns the number of tokens, which may be fractional.
+    pub fn available(&self, now: Instant) -> f64 {
+        let mut bucket = self.clone();
+        bucket.refill(now);
+        bucket.tokens
+    }
+
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         self.tokens = (self.tokens + elapsed.as_secs_f64() * self.per_second).min(self.burst);
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -15,4 +15,6 @@
 mod retry_budget;
 mod rollout;
 mod stop;
+mod uneven;
 mod upstream;
+mod upstream_capacity;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -8,7 +8,8 @@
 
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, OwnerState, PriorityClass},
-    placement::{Candidate, shortest_wait, sort_by_cost},
+    peer_health::PeerHealth,
+    placement::{Candidate, Position, order_by_cost, shortest_wait},
     upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::NodeName;
@@ -16,24 +17,29 @@
 
 fn state(running: u32, slowness: u32, wait_ms: u64) -> OwnerState {
     let expected_wait = Duration::from_millis(wait_ms);
-    let capacity = UpstreamCapacity::UNKNOWN;
+    let free = 6_u32.saturating_sub(running) as u16;
+    let capacity = UpstreamCapacity { free, ..UpstreamCapacity::UNKNOWN };
     OwnerState { running, waiting: 0, slots: 6, slowness, expected_wait, capacity }
 }
 
 fn candidate(node: &str, zone: &str, state: Option<(OwnerState, Instant)>) -> Candidate {
-    Candidate {
-        node: node.into(),
-        zone: zone.into(),
-        state,
-        in_flight: 0,
-        tried: true,
-        limited: false,
+    let mut health = PeerHealth::default();
+    if let Some((state, at)) = state {
+        health.on_state(state, at);
     }
+    Candidate { node: node.into(), zone: zone.into(), health, tried: true, limited: false }
+}
+
+/// Sorts candidates into the order in which an ingress of zone `z1` asks them.
+fn sort_by_cost(candidates: &mut Vec<Candidate>, node: &NodeName, now: Instant, rng: &mut StdRng) {
+    let position = Position { node, zone: &"z1".into() };
+    let order = order_by_cost(candidates, position, now, rng);
+    *candidates = order.into_iter().map(|index| candidates[index].clone()).collect();
 }
 
 fn first(mut candidates: Vec<Candidate>, now: Instant) -> String {
     let mut rng = StdRng::seed_from_u64(1);
-    sort_by_cost(&mut candidates, &"here".into(), &"z1".into(), now, &mut rng);
+    sort_by_cost(&mut candidates, &"here".into(), now, &mut rng);
     candidates[0].node.as_str().to_owned()
 }
 
@@ -62,7 +68,8 @@
 
 /// Returns the state of an owner whose upstream fails runs, and so has a slot at once.
 fn failing(running: u32, failures: u8) -> OwnerState {
-    OwnerState { capacity: UpstreamCapacity { failures }, ..state(running, 100, 0) }
+    let idle = state(running, 100, 0);
+    OwnerState { capacity: UpstreamCapacity { failures, ..idle.capacity }, ..idle }
 }
 
 /// Guards against an owner that attracts requests because its upstream fails them at once, against
@@ -93,8 +100,8 @@
     assert_eq!(first(vec![candidate("here", "z1", idle), new("z1")], now), "new");
     let mut rng = StdRng::seed_from_u64(1);
     let asked = (0..100).filter(|_| {
-        let mut candidates = [candidate("here", "z1", idle), new("z2")];
-        sort_by_cost(&mut candidates, &"here".into(), &"z1".into(), now, &mut rng);
+        let mut candidates = vec![candidate("here", "z1", idle), new("z2")];
+        sort_by_cost(&mut candidates, &"here".into(), now, &mut rng);
         candidates[0].node.as_str() == "new"
     });
     assert!((5..20).contains(&asked.count()));
@@ -114,9 +121,9 @@
         .collect();
     let mut left_zone = 0;
     for _ in 0..100 {
-        sort_by_cost(&mut candidates, &"n1".into(), &"z1".into(), now, &mut rng);
+        sort_by_cost(&mut candidates, &"n1".into(), now, &mut rng);
         candidates[0].tried = true;
-        candidates[0].state = Some((state(1, 100, 0), now));
+        candidates[0].health.on_state(state(1, 100, 0), now);
         left_zone += u32::from(candidates[0].zone.as_str() != "z1");
     }
     assert!(left_zone <= 20, "{left_zone} of 100");
@@ -156,19 +163,19 @@
                      at| {
             let view: &mut Candidate =
                 views[ingress].iter_mut().find(|view| view.node == names[owner]).unwrap();
-            view.state = Some((queue.state(PriorityClass::Timely, 1, at), at));
+            view.health.on_state(queue.state(PriorityClass::Timely, 1, at), at);
         };
         while let Some(&Reverse((end, ingress, owner))) = ends.peek().filter(|end| end.0.0 <= now) {
             ends.pop();
             queues[owner].release(Some(SERVICE_TIME));
             learn(&mut views, &queues[owner], ingress, owner, end);
             let view = views[ingress].iter_mut().find(|view| view.node == names[owner]).unwrap();
-            view.in_flight -= 1;
+            view.health.on_ended();
             view.limited = is_limited(owner);
         }
         let ingress = rng.random_range(0..nodes);
         offered += 1;
-        sort_by_cost(&mut views[ingress], &names[ingress], &"z1".into(), now, &mut rng);
+        sort_by_cost(&mut views[ingress], &names[ingress], now, &mut rng);
         for place in 0..6.min(nodes) {
             let node = views[ingress][place].node.clone();
             let owner = names.iter().position(|name| *name == node).unwrap();
@@ -182,13 +189,13 @@
             };
             if queues[owner].admit(request, now) == Admission::Run {
                 started += 1;
-                views[ingress][place].in_flight += 1;
+                views[ingress][place].health.on_sent();
                 ends.push(Reverse((now + SERVICE_TIME, ingress, owner)));
                 break;
             }
             learn(&mut views, &queues[owner], ingress, owner, now);
             let view = views[ingress].iter_mut().find(|view| view.node == names[owner]).unwrap();
-            view.limited |= view.state.is_some_and(|(state, _)| state.is_rate_bound());
+            view.limited |= view.health.state().is_some_and(|(state, _)| state.is_rate_bound());
         }
     }
     f64::from(started) / f64::from(offered)
@@ -200,8 +207,7 @@
 fn limited_majority_leaves_requests_without_an_owner() {
     for nodes in [8, 300] {
         let started = run_limited_majority(nodes);
-        eprintln!("{nodes} {started}");
-        assert!(started >= 0.0, "{nodes} nodes: {started} of the requests started at once");
+        assert!(started >= 0.98, "{nodes} nodes: {started} of the requests started at once");
     }
 }
 
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -12,6 +12,7 @@
     latency_estimate::LatencyEstimate,
     leadership::{Leadership, ProcessId},
     members::{Member, Members, NodeRecord},
+    peer_health::PeerHealth,
     placement::Candidate,
     retry_budget::{RetryBudget, RetryBudgetConfig},
     rollout::{AllowedVersions, Phase, RolloutPlan},
@@ -58,8 +59,7 @@
     pub lost_plans: BTreeSet<ServiceName>,
     /// Leaderships of rollouts by service.
     pub leaderships: BTreeMap<ServiceName, Leadership>,
-    owner_states: HashMap<NodeName, (OwnerState, Instant)>,
-    in_flight: HashMap<NodeName, u32>,
+    peers: HashMap<NodeName, PeerHealth>,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
     limited_owners: HashMap<NodeName, Instant>,
     /// Upstreams that said in a response to this node that they are leaving, by owner. The owner
@@ -83,8 +83,7 @@
             plans: BTreeMap::new(),
             lost_plans: BTreeSet::new(),
             leaderships: BTreeMap::new(),
-            owner_states: HashMap::new(),
-            in_flight: HashMap::new(),
+            peers: HashMap::new(),
             limited_owners: HashMap::new(),
             leaving_upstreams: HashMap::new(),
             latencies: HashMap::new(),
@@ -216,8 +215,7 @@
         Candidate {
             node: node.clone(),
             zone: member.record.zone.clone(),
-            state: self.owner_states.get(node).copied(),
-            in_flight: self.in_flight.get(node).copied().unwrap_or(0),
+            health: self.peers.get(node).copied().unwrap_or_default(),
             tried: member.is_tried(),
             limited: self
                 .limited_owners
@@ -229,20 +227,28 @@
     /// Records that a request is being sent to an owner.
     pub fn on_sent(&mut self, node: &NodeName) {
         self.members.on_sent(node);
-        *self.in_flight.entry(node.clone()).or_default() += 1;
+        match self.peers.get_mut(node) {
+            Some(peer) => peer.on_sent(),
+            None => self.peers.entry(node.clone()).or_default().on_sent(),
+        }
     }
 
     /// Records that a request to an owner has ended, with or without an answer.
     pub fn on_ended(&mut self, node: &NodeName) {
-        if let Some(in_flight) = self.in_flight.get_mut(node) {
-            *in_flight = in_flight.saturating_sub(1);
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.on_ended();
         }
     }
 
+    /// Sets the state of this node's own owner.
+    pub fn on_own_state(&mut self, node: &NodeName, state: OwnerState, now: Instant) {
+        self.peers.entry(node.clone()).or_default().on_state(state, now);
+    }
+
     /// Records the state that an owner sent with its answer.
     pub fn on_state(&mut self, node: &NodeName, state: OwnerState, now: Instant) {
         self.members.on_answer(node, now);
-        self.owner_states.insert(node.clone(), (state, now));
+        self.peers.entry(node.clone()).or_default().on_state(state, now);
     }
 
     /// Records whether an owner's upstream limits its requests.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod dispatch;
 mod outcome;
+mod ranking;
 mod request;
 
 use std::{
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -17,8 +17,7 @@
     admission_queue::{OwnerState, PriorityClass},
     crash_suspects,
     members::NodeRecord,
-    placement::{Candidate, shortest_wait, sort_by_cost},
-    rollout::AllowedVersions,
+    placement::shortest_wait,
     upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
@@ -26,8 +25,9 @@
 
 use super::{
     Ingress,
-    attempts::{AttemptState, Attempts, InFlightGuard},
+    attempts::{Attempts, InFlightGuard},
     outcome::{Failure, Outcome},
+    ranking::{RankedOwner, RankedOwners},
     request::ClientRequest,
 };
 use crate::mesh::{
@@ -68,20 +68,6 @@
     class: PriorityClass,
 }
 
-/// Owners that may get an offer, the best first.
-struct RankedOwners {
-    preferred: std::vec::IntoIter<Arc<NodeRecord>>,
-    /// Owners that are asked instead once one of the first refuses for its version.
-    fallback: Option<std::vec::IntoIter<Arc<NodeRecord>>>,
-}
-
-impl RankedOwners {
-    fn new(preferred: Vec<Arc<NodeRecord>>, fallback: Option<Vec<Arc<NodeRecord>>>) -> Self {
-        let fallback = fallback.map(Vec::into_iter);
-        Self { preferred: preferred.into_iter(), fallback }
-    }
-}
-
 /// Outcome of one round of offers.
 enum RoundOutcome {
     /// An owner sent the request to its upstream.
@@ -326,11 +312,16 @@
         conditions: StartConditions,
     ) -> RoundOutcome {
         let RankedOwners { mut preferred, mut fallback } =
-            self.rank_owners(request, attempts, version_draw);
+            self.rank_owners(request, attempts, version_draw, conditions.class);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
         for _ in 0..MAX_OWNERS_PER_ROUND {
-            let Some(record) = preferred.next() else { break };
+            let Some(RankedOwner { record, refusing }) = preferred.next() else { break };
+            if let Some(state) = refusing {
+                why = ErrorKind::Overloaded;
+                states.push((record, state));
+                continue;
+            }
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -416,71 +407,6 @@
         }
     }
 
-    /// Returns the owners that may get an offer.
-    fn rank_owners(
-        &self,
-        request: &ClientRequest,
-        attempts: &Attempts,
-        version_draw: f64,
-    ) -> RankedOwners {
-        let now = self.shared.clock.now();
-        let deployment = self.shared.deployment();
-        let mut owners = deployment.owners(&request.service, now);
-        {
-            let AttemptState { excluded, in_flight, .. } = &*attempts.lock();
-            owners.retain(|(owner, _)| {
-                !excluded.contains(&owner.node) && !in_flight.contains(&owner.node)
-            });
-        }
-        let allowed_versions = deployment.allowed_versions(&request.service);
-        drop(deployment);
-        let AllowedVersions::Share(version, share) = allowed_versions else {
-            return RankedOwners::new(self.sort_owners(owners, now), None);
-        };
-        let is_new = |record: &NodeRecord| {
-            record.upstream.as_ref().is_some_and(|upstream| upstream.version == version)
-        };
-        let (mut new, old): (Vec<_>, Vec<_>) =
-            owners.into_iter().partition(|(_, record)| is_new(record));
-        if version_draw >= share {
-            // The new version is asked only if no owner of the old one is left, and serves what its
-            // leader has granted.
-            let owners = if old.is_empty() { new } else { old };
-            return RankedOwners::new(self.sort_owners(owners, now), None);
-        }
-        let new = match share < 1.0 {
-            true => {
-                // Some versions fail only under load, so the upstreams are filled one after the
-                // other, in the same order at all nodes.
-                new.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
-                new.into_iter().map(|(_, record)| record).collect()
-            }
-            false => self.sort_owners(new, now),
-        };
-        let old = self.sort_owners(old, now);
-        if new.is_empty() {
-            RankedOwners::new(old, None)
-        } else {
-            RankedOwners::new(new, Some(old))
-        }
-    }
-
-    /// Sorts owners by their expected cost, the cheapest first.
-    fn sort_owners(
-        &self,
-        owners: Vec<(Candidate, Arc<NodeRecord>)>,
-        now: Instant,
-    ) -> Vec<Arc<NodeRecord>> {
-        let settings = &self.shared.settings.node;
-        let mut candidates: Vec<_> =
-            owners.iter().map(|(candidate, _)| candidate.clone()).collect();
-        sort_by_cost(&mut candidates, &settings.name, &settings.zone, now, &mut rand::rng());
-        let record = |node: &NodeName| {
-            owners.iter().find(|(candidate, _)| candidate.node == *node).map(|(_, r)| r.clone())
-        };
-        candidates.iter().filter_map(|candidate| record(&candidate.node)).collect()
-    }
-
     fn new_offer(
         &self,
         request: &ClientRequest,
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -3,6 +3,7 @@
 //! The owner decides whether the upstream may get a request, by its slots, cold start, draining,
 //! zone and version. It knows these exactly at the moment of sending, even if the ingress does not.
 
+mod capacity;
 mod health;
 mod run;
 
@@ -17,14 +18,16 @@
 use event_listener::Event;
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
-    admission_queue::{Admission, AdmissionQueue, AdmissionRequest, Dequeued, OwnerState, Ticket},
+    admission_queue::{
+        Admission, AdmissionQueue, AdmissionRequest, Dequeued, OwnerState, PriorityClass, Ticket,
+    },
     config::RetrySafety,
     crash_suspects::{CrashSuspects, Fingerprint, Verdict, chosen_owner},
     exposure::OwnerExposure,
     rollout::Evidence,
     stop::StopSchedule,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
-    upstream_capacity::FailingState,
+    upstream_capacity::{FailingState, KneeEstimate},
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
 use oleandertiller_platform::header::is_nested_id;
@@ -58,6 +61,7 @@
     exposure: OwnerExposure,
     suspects: CrashSuspects,
     failing: FailingState,
+    knee: KneeEstimate,
 }
 
 /// A request that the upstream is running.
@@ -122,6 +126,7 @@
         if let Some(index) = inner.running.iter().position(|run| run.id == *self.id) {
             inner.running.swap_remove(index);
         }
+        inner.on_running_changed(self.owner.clock.now());
         drop(inner);
         self.owner.notify_waiters();
     }
@@ -186,6 +191,7 @@
             exposure: OwnerExposure::default(),
             suspects: CrashSuspects::default(),
             failing: FailingState::default(),
+            knee: KneeEstimate::default(),
         };
         let health_conn = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
@@ -227,6 +233,7 @@
                 inner.evidence = Evidence::default();
                 inner.vetoed = false;
                 inner.queue.on_new_upstream();
+                inner.knee = KneeEstimate::default();
                 self.metrics.set_request_limit(None);
                 self.pool.clear();
             }
@@ -327,7 +334,12 @@
 
     /// Returns the state that is sent with the reply to an offer.
     pub fn state(&self, offer: &Offer) -> OwnerState {
-        self.lock().queue.state(offer.class, offer.rank, self.clock.now())
+        self.state_for(offer.class, offer.rank)
+    }
+
+    /// Returns the state for requests of a class and rank.
+    pub fn state_for(&self, class: PriorityClass, rank: u32) -> OwnerState {
+        self.lock().queue.state(class, rank, self.clock.now())
     }
 
     /// Runs a request on the upstream, or refuses it.
@@ -403,15 +415,19 @@
             }
         }
         counted.confirm();
-        self.lock().running.push(RunningRequest {
-            id: offer.id.clone(),
-            suspect,
-            is_retry: offer.is_retry,
-            made_calls: false,
-        });
-        let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
         let started = self.clock.now();
+        let run_start = self.on_start(
+            RunningRequest {
+                id: offer.id.clone(),
+                suspect,
+                is_retry: offer.is_retry,
+                made_calls: false,
+            },
+            started,
+        );
+        let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
         let end = self.run_on_upstream(offer, deadline).await;
+        self.on_run_end(offer, run_start, &end);
         if let End::Answered(_) = end {
             slot.service_time = Some(self.clock.now().saturating_duration_since(started));
         }
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -41,6 +41,7 @@
         let started = self.clock.now();
         let slowness = self.lock().queue.slowness();
         let Some(pooled) = self.take_or_connect(announcement.address, deadline).await else {
+            self.record_failure_share(true, &announcement);
             return End::NotRun { why: ErrorKind::ConnectFailed, arrived: false };
         };
         let remaining = time_left(deadline, self.clock.now());
@@ -192,27 +193,36 @@
             End::Answered(response) if response.status == STATUS_GATEWAY_TIMEOUT => Some(time),
             End::Unknown(ErrorKind::UpstreamTimeout) => Some(time),
             End::Answered(_) | End::Unknown(_) => None,
-            End::NotRun { .. } => return,
-        };
-        {
-            let mut inner = self.lock();
-            let made_calls = inner.running.iter().any(|run| run.id == offer.id && run.made_calls);
-            // If the request made nested calls, another service may have caused its failure.
-            if result.is_some() || !made_calls || matches!(end, End::Unknown(_)) {
-                let now = self.clock.now();
-                inner.queue.record_outcome(result.is_none(), now);
-                let failures = inner.queue.capacity(now).failures;
-                self.metrics.set_upstream_failures(failures);
-                if let Some(failing) = inner.failing.update(failures) {
-                    log::warn!(upstream = &*announcement.incarnation.id, failing = failing,
-                        percent = failures; "share of failed runs of the upstream changed");
+            // Its slot is free again at once, so it must not look fast.
+            End::NotRun { why, .. } => {
+                if *why != ErrorKind::NoUpstream {
+                    self.record_failure_share(true, announcement);
                 }
+                return;
             }
+        };
+        let made_calls = self.lock().running.iter().any(|run| run.id == offer.id && run.made_calls);
+        // If the request made nested calls, another service may have caused its failure.
+        if result.is_some() || !made_calls || matches!(end, End::Unknown(_)) {
+            self.record_failure_share(result.is_none(), announcement);
         }
         self.lock().evidence.record(&announcement.version, &offer.route, result);
         self.update_veto(&offer.service, &announcement.version);
     }
 
+    /// Records whether a run failed in the share of failed runs.
+    fn record_failure_share(&self, failed: bool, announcement: &Announcement) {
+        let mut inner = self.lock();
+        let now = self.clock.now();
+        inner.queue.record_outcome(failed, now);
+        let failures = inner.queue.capacity(now).failures;
+        self.metrics.set_upstream_failures(failures);
+        if let Some(failing) = inner.failing.update(failures) {
+            log::warn!(upstream = &*announcement.incarnation.id, failing = failing,
+                percent = failures; "share of failed runs of the upstream changed");
+        }
+    }
+
     /// Stops requests to a version that is rolled out if this node's evidence shows that it is bad.
     fn update_veto(&self, service: &ServiceName, version: &VersionName) {
         let rolling_out = self.deployment().is_rolling_out(service, version);
