--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -42,7 +42,7 @@
         let started = self.clock.now();
         let slowness = self.lock().queue.slowness();
         let Some(pooled) = self.take_or_connect(announcement.address, deadline).await else {
-            self.record_failure_share(true, &announcement);
+            self.update_failures(&announcement, |queue, now| queue.record_outcome(true, now));
             return End::NotRun { why: ErrorKind::ConnectFailed, arrived: false };
         };
         let remaining = time_left(deadline, self.clock.now());
