Refuse requests early by a shared view of the capacity of services

While demand exceeds the capacity of a service, requests were offered to six owners in vain, waited for 80 ms and were offered again, and lower ranks passed higher ones because they wait longer. Owners now report with each reply from which priority on requests wait in vain; ingresses refuse from that without an offer, and tell clients times that follow the rate. Lower ranks keep a share of the starts, senders get fair shares, and a request does not wait as timely once its answer would be late. Nested calls inherit rank and remaining time; a parent is not started while the service of its calls is known to be full.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -15,7 +15,12 @@
 use oleandertiller_model::ErrorKind;
 use serde::{Deserialize, Serialize};
 
-use crate::{request_limit::RequestLimit, token_bucket::TokenBucket};
+use crate::{
+    rank_share::RankShare,
+    request_limit::RequestLimit,
+    sender_share::{SenderId, SenderShare, may_enqueue},
+    token_bucket::TokenBucket,
+};
 
 /// Longest time for which an upstream counts as cold from one announcement: adding a longer one to the
 /// clock could overflow.
@@ -33,10 +38,16 @@
 /// upstreams become slow when they are nearly full.
 const SOFT_LIMIT_SHARE: f64 = 0.8;
 
-/// Number of slots kept free for requests of higher priority after one of them has found none free.
-/// A single slot can serve several short requests one after the other, and is idle if none come.
+/// Number of slots kept free for each higher priority of which a request has found none free. A
+/// single slot can serve several short requests one after the other, and is idle if none come.
 const RESERVE_SLOTS: u32 = 1;
 
+/// Maximum number of slots kept free for all higher priorities.
+const MAX_RESERVE_SLOTS: u32 = 2;
+
+/// Time for which the queue reports that a request has waited in vain.
+const TURNED_AWAY_DURATION: Duration = Duration::from_millis(150);
+
 /// Time for which slots are kept free after a request of higher priority has found none.
 const RESERVE_DURATION: Duration = Duration::from_secs(2);
 
@@ -104,6 +115,12 @@
     /// Expected time until a new request gets a slot.
     #[serde(rename = "expected")]
     pub expected_wait: Duration,
+    /// Requests that the upstream can start in a minute, by its slots, service time and limits.
+    pub starts_per_minute: u32,
+    /// Priority from which on requests have recently waited in vain, and none has started since.
+    pub turned_away: Option<Priority>,
+    /// Expected wait for a service that the request would call; zero if that has capacity.
+    pub calls_wait: Duration,
 }
 
 impl OwnerState {
@@ -114,6 +131,9 @@
     }
 }
 
+/// Class and rank of a request; the lower value is the higher priority.
+pub type Priority = (PriorityClass, u32);
+
 /// A request that arrives at the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionRequest {
@@ -129,6 +149,14 @@
     pub class: PriorityClass,
     /// Whether it may run at most once, so that a lost answer loses the request.
     pub at_most_once: bool,
+    /// Node that has sent it.
+    pub sender: SenderId,
+}
+
+impl AdmissionRequest {
+    fn priority(&self) -> Priority {
+        (self.class, self.rank)
+    }
 }
 
 /// Priority class of a request, the highest first.
@@ -156,6 +184,12 @@
     number: u64,
 }
 
+impl Ticket {
+    fn priority(&self) -> Priority {
+        (self.class, self.rank)
+    }
+}
+
 /// Decision on a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -224,8 +258,12 @@
     /// Requests that have a slot and have not confirmed it; their clients may be gone by now.
     granted: BTreeSet<Ticket>,
     last_number: u64,
-    /// The highest priority that has recently found no slot, and when.
-    starved: Option<(Instant, (PriorityClass, u32))>,
+    /// Priorities that have recently found no slot, and when.
+    starved: BTreeMap<Priority, Instant>,
+    /// The highest priority that has recently waited in vain, and when.
+    turned_away: Option<(Instant, Priority)>,
+    ranks: RankShare,
+    senders: SenderShare,
     /// Share of recent runs that failed, and when the last run ended.
     failure_rate: (f64, Option<Instant>),
 }
@@ -245,7 +283,10 @@
             waiting: BTreeMap::new(),
             granted: BTreeSet::new(),
             last_number: 0,
-            starved: None,
+            starved: BTreeMap::new(),
+            turned_away: None,
+            ranks: RankShare::default(),
+            senders: SenderShare::default(),
             failure_rate: (0.0, None),
         }
     }
@@ -337,23 +378,28 @@
             (PriorityClass::Nested, _) | (_, true) => self.slots,
             (_, false) => self.soft_limit(),
         };
-        let limit = limit.saturating_sub(self.reserve(request.class, request.rank, now)).max(1);
-        let priority = (request.class, request.rank);
-        let is_first = self.waiting.keys().next().is_none_or(|t| (t.class, t.rank) > priority);
+        let priority = request.priority();
+        let reserve = self.reserve(priority, now);
+        let limit = limit.saturating_sub(reserve).max(1);
+        let is_first = self.waiting.keys().next().is_none_or(|t| t.priority() > priority);
         if is_first && self.may_start(&request) && self.running < limit {
-            return match self.check_rates(now) {
+            return match self.check_rates(reserve, now) {
                 None => {
-                    self.start();
+                    self.start(&request, now);
                     Admission::Run
                 }
-                Some(_) if may_wait => self.enqueue(request),
+                Some(_) if may_wait => {
+                    self.record_starved(priority, now);
+                    self.enqueue(request)
+                }
                 Some(why) => Admission::Refuse(why),
             };
         }
         if may_wait && self.running >= self.slots {
-            self.record_starved(request.class, request.rank, now);
+            self.record_starved(priority, now);
         }
-        match may_wait {
+        let own = self.waiting.values().filter(|waiting| waiting.sender == request.sender);
+        match may_wait && may_enqueue(own.count(), self.waiting.len(), self.slots) {
             true => self.enqueue(request),
             false => Admission::Refuse(self.capacity_refusal(now)),
         }
@@ -365,23 +411,54 @@
         let expired = self.waiting.iter().find(|(_, request)| request.wait_until <= now);
         if let Some((&ticket, _)) = expired {
             self.waiting.remove(&ticket);
+            if self.closed_reason.is_none() {
+                self.record_turned_away(ticket.priority(), now);
+            }
             let why = self.closed_reason.unwrap_or_else(|| self.capacity_refusal(now));
             return Some(Dequeued::Refuse(ticket, why));
         }
-        let (&ticket, &request) = self.waiting.first_key_value()?;
+        let first = *self.waiting.first_key_value()?.0;
         if let Some(kind) = self.closed_reason {
-            self.waiting.remove(&ticket);
-            return Some(Dequeued::Refuse(ticket, kind));
+            self.waiting.remove(&first);
+            return Some(Dequeued::Refuse(first, kind));
         }
-        let reserve = self.reserve(ticket.class, ticket.rank, now);
+        let due = self.ranks.due().and_then(|priority| self.start_next(priority, true, now));
+        let started = due.or_else(|| self.start_next(first.priority(), false, now));
+        started.map(Dequeued::Run)
+    }
+
+    /// Starts the next waiting request of a priority, if there is one and it may start now; a
+    /// request that is `due` takes what is reserved for others.
+    fn start_next(&mut self, priority: Priority, due: bool, now: Instant) -> Option<Ticket> {
+        let (ticket, request) = self.first_of(priority, now)?;
+        let reserve = if due { 0 } else { self.reserve(priority, now) };
         let limit = self.slots.saturating_sub(reserve).max(1);
-        if self.may_start(&request) && self.running < limit && self.check_rates(now).is_none() {
-            self.waiting.remove(&ticket);
-            self.granted.insert(ticket);
-            self.start();
-            return Some(Dequeued::Run(ticket));
+        let may_start = self.may_start(&request) && self.running < limit;
+        if !may_start || self.check_rates(reserve, now).is_some() {
+            return None;
+        }
+        self.waiting.remove(&ticket);
+        self.granted.insert(ticket);
+        let turned_away = self.turned_away;
+        self.start(&request, now);
+        if due {
+            // Its start is no sign of capacity for others of its priority.
+            self.turned_away = turned_away;
         }
-        None
+        Some(ticket)
+    }
+
+    /// Returns the next waiting request of a priority: of the senders that have one, the first of
+    /// the sender whose requests have started least often of late.
+    fn first_of(&self, priority: Priority, now: Instant) -> Option<(Ticket, AdmissionRequest)> {
+        let (class, rank) = priority;
+        let first = Ticket { class, rank, number: 0 };
+        let last = Ticket { class, rank, number: u64::MAX };
+        let starts = |request: &AdmissionRequest| self.senders.recent_starts(request.sender, now);
+        let waiting = self.waiting.range(first..=last);
+        // Of equal minima, the first is returned, which has waited longest.
+        let next = waiting.min_by(|(_, one), (_, other)| starts(one).total_cmp(&starts(other)));
+        next.map(|(ticket, request)| (*ticket, *request))
     }
 
     /// Records that a request has taken the slot that [`Self::dequeue`] gave it; from then on
@@ -430,7 +507,9 @@
     /// Returns the state for an ingress that asks on behalf of a request of this class and rank;
     /// only requests that start before it delay it.
     pub fn state(&self, class: PriorityClass, rank: u32, now: Instant) -> OwnerState {
-        let before = self.waiting.keys().filter(|t| (t.class, t.rank) <= (class, rank)).count();
+        let before = self.waiting.keys().filter(|t| t.priority() <= (class, rank)).count();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < TURNED_AWAY_DURATION;
+        let turned_away = self.turned_away.filter(|(at, _)| is_recent(*at));
         let ahead = (self.running as usize + before + 1) as f64;
         let slots = f64::from(self.slots.max(1));
         let rounds = ((ahead - slots) / slots).max(0.0);
@@ -446,9 +525,19 @@
             slots: self.slots,
             slowness: self.slowness(),
             expected_wait: by_slots.max(by_rate).max(by_limit),
+            starts_per_minute: (self.start_rate() * 60.0) as u32,
+            turned_away: turned_away.map(|(_, priority)| priority),
+            calls_wait: Duration::ZERO,
         }
     }
 
+    /// Returns the requests per second that can start, by the slots and the limits on the rate.
+    fn start_rate(&self) -> f64 {
+        let cold = self.cold.as_ref().map(|cold| cold.bucket.per_second());
+        let limits = [cold, self.limit.per_second()];
+        limits.into_iter().flatten().fold(self.full_rate(), f64::min)
+    }
+
     /// Returns the requests per second that fill all slots, by the recent service times.
     pub fn full_rate(&self) -> f64 {
         f64::from(self.slots) / self.service_time.max(0.001)
@@ -459,25 +548,30 @@
         self.load.slowness.unwrap_or(100)
     }
 
-    /// Returns the slots that a request leaves free for those of higher priority, if one of them
+    /// Returns the slots that a request leaves free: one for each higher priority of which a request
     /// has recently found none. Long runs of low priority would otherwise hold all slots.
-    fn reserve(&self, class: PriorityClass, rank: u32, now: Instant) -> u32 {
-        let Some((at, priority)) = self.starved else { return 0 };
-        let recent = now.saturating_duration_since(at) < RESERVE_DURATION;
-        if recent && priority < (class, rank) { RESERVE_SLOTS } else { 0 }
+    fn reserve(&self, priority: Priority, now: Instant) -> u32 {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < RESERVE_DURATION;
+        let higher = self.starved.range(..priority).filter(|(_, at)| is_recent(at));
+        (higher.count() as u32 * RESERVE_SLOTS).min(MAX_RESERVE_SLOTS)
     }
 
-    /// Records that a request has found no slot.
-    fn record_starved(&mut self, class: PriorityClass, rank: u32, now: Instant) {
-        let priority = (class, rank);
-        let replace = self.starved.is_none_or(|(at, starved)| {
-            starved >= priority || now.saturating_duration_since(at) >= RESERVE_DURATION
+    /// Records that a request has waited in vain.
+    fn record_turned_away(&mut self, priority: Priority, now: Instant) {
+        let replace = self.turned_away.is_none_or(|(at, highest)| {
+            highest >= priority || now.saturating_duration_since(at) >= TURNED_AWAY_DURATION
         });
         if replace {
-            self.starved = Some((now, priority));
+            self.turned_away = Some((now, priority));
         }
     }
 
+    /// Records that a request has found no slot.
+    fn record_starved(&mut self, priority: Priority, now: Instant) {
+        self.starved.retain(|_, at| now.saturating_duration_since(*at) < RESERVE_DURATION);
+        self.starved.insert(priority, now);
+    }
+
     fn soft_limit(&self) -> u32 {
         ((f64::from(self.slots) * SOFT_LIMIT_SHARE) as u32).max(1)
     }
@@ -501,7 +595,18 @@
     }
 
     /// Records the start of a request that [`Self::check_rates`] allows.
-    fn start(&mut self) {
+    fn start(&mut self, request: &AdmissionRequest, now: Instant) {
+        let priority = request.priority();
+        if let Some((at, highest)) = self.turned_away
+            && priority >= highest
+        {
+            // There is capacity for some requests of the priority, if not for lower ones.
+            let next = (highest.0, highest.1.saturating_add(1));
+            self.turned_away = (priority == highest).then_some((at, next));
+        }
+        let waiting = self.waiting.keys().map(Ticket::priority).collect();
+        self.ranks.on_start(priority, &waiting);
+        self.senders.on_start(request.sender, now);
         self.running += 1;
         self.limit.on_start();
         if let Some(cold) = &mut self.cold {
@@ -525,12 +630,14 @@
 
     /// Returns why no request may start now although a slot is free, if so: an upstream that is
     /// cold or has named a limit accepts only so many requests per second.
-    fn check_rates(&mut self, now: Instant) -> Option<ErrorKind> {
+    /// A cold upstream keeps `reserve` requests of its rate for those of higher priority.
+    fn check_rates(&mut self, reserve: u32, now: Instant) -> Option<ErrorKind> {
         if self.cold_until.is_some_and(|until| now >= until) {
             self.cold_until = None;
             self.cold = None;
         }
-        if self.cold.as_mut().is_some_and(|cold| !cold.bucket.has_token(now)) {
+        let tokens = f64::from(1 + reserve);
+        if self.cold.as_mut().is_some_and(|cold| !cold.bucket.has_tokens(tokens, now)) {
             return Some(ErrorKind::Cold);
         }
         (!self.limit.allows(self.running, now)).then_some(ErrorKind::Overloaded)
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -3,6 +3,7 @@
 //! and uses neither sockets nor clocks.
 //!
 //! - [`admission_queue`]: when an owner runs a request, queues it or refuses it.
+//! - [`capacity_view`]: which requests an ingress refuses because no owner has capacity for them.
 //! - [`change_feed`]: from where a node gets the store's changes.
 //! - [`config`]: the operators' configuration and the route of a request.
 //! - [`crash_suspects`]: which requests crash the upstreams that run them.
@@ -11,16 +12,20 @@
 //! - [`leadership`]: which process leads the rollouts of a service.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
+//! - [`nested_calls`]: which services the requests of a route call.
 //! - [`placement`]: in which order an ingress asks the owners.
+//! - [`rank_share`]: the starts that an owner gives to requests of lower priority.
 //! - [`request_limit`]: how many requests an upstream in need gets.
 //! - [`retry_after`]: when a refused client should retry.
 //! - [`retry_budget`]: how many retries this node may send.
 //! - [`rollout`]: which versions may serve, and whether a new version is good.
+//! - [`sender_share`]: how an owner's capacity is shared between the sending nodes.
 //! - [`stop`]: the times of a planned stop.
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
 
 pub mod admission_queue;
+pub mod capacity_view;
 pub mod change_feed;
 pub mod config;
 pub mod crash_suspects;
@@ -29,11 +34,14 @@
 pub mod leadership;
 pub mod lease;
 pub mod members;
+pub mod nested_calls;
 pub mod placement;
+pub mod rank_share;
 pub mod request_limit;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod rollout;
+pub mod sender_share;
 pub mod stop;
 pub mod token_bucket;
 pub mod upstream;
--- a/crates/mesh/src/token_bucket.rs
+++ b/crates/mesh/src/token_bucket.rs
@@ -45,6 +45,12 @@
         self.tokens >= 1.0
     }
 
+    /// Returns whether there are `count` tokens, or as many as the bucket can hold.
+    pub fn has_tokens(&mut self, count: f64, now: Instant) -> bool {
+        self.refill(now);
+        self.tokens >= count.min(self.burst.floor()).max(1.0)
+    }
+
     /// Takes a token; to be called only if there is one.
     pub fn take(&mut self) {
         self.tokens -= 1.0;
--- a/crates/mesh/tests/mesh/admission_queue.rs
+++ b/crates/mesh/tests/mesh/admission_queue.rs
@@ -2,8 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use oleandertiller_mesh::admission_queue::{
-    Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass, UpstreamLoad,
+use oleandertiller_mesh::{
+    admission_queue::{
+        Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass,
+        UpstreamLoad,
+    },
+    sender_share::SenderId,
 };
 use oleandertiller_model::ErrorKind;
 use proptest::prelude::*;
@@ -22,6 +26,7 @@
         allow_slow: false,
         class: PriorityClass::Timely,
         at_most_once: false,
+        sender: SenderId::default(),
     }
 }
 
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
-use oleandertiller_mesh::admission_queue::{
-    Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass, Ticket,
-    UpstreamLoad,
+use oleandertiller_mesh::{
+    admission_queue::{
+        Admission, AdmissionQueue, AdmissionRequest, ColdRate, Dequeued, PriorityClass, Ticket,
+        UpstreamLoad,
+    },
+    sender_share::SenderId,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -61,6 +64,7 @@
             allow_slow: false,
             class: PriorityClass::Timely,
             at_most_once: false,
+            sender: SenderId::default(),
         };
         match queue.admit(request, now) {
             Admission::Run => {
@@ -173,6 +177,7 @@
                     allow_slow: waited >= OBJECTIVE.mul_f64(0.15),
                     class: PriorityClass::Timely,
                     at_most_once: false,
+                    sender: SenderId::default(),
                 };
                 if queues[owner].admit(attempt, now) == Admission::Run {
                     let usual = rng.random_range(0.14..0.26);
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the decisions of a mesh node; each names the failure that it guards against.
 
 mod admission_queue;
+mod capacity;
 mod change_feed;
 mod config;
 mod crash_suspects;
+mod crowd;
 mod exposure;
 mod exposure_counts;
 mod leadership;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -9,13 +9,23 @@
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, OwnerState, PriorityClass},
     placement::{Candidate, shortest_wait, sort_by_cost},
+    sender_share::SenderId,
 };
 use oleandertiller_model::NodeName;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 fn state(running: u32, slowness: u32, wait_ms: u64) -> OwnerState {
     let expected_wait = Duration::from_millis(wait_ms);
-    OwnerState { running, waiting: 0, slots: 6, slowness, expected_wait }
+    OwnerState {
+        running,
+        waiting: 0,
+        slots: 6,
+        slowness,
+        expected_wait,
+        starts_per_minute: 0,
+        turned_away: None,
+        calls_wait: Duration::ZERO,
+    }
 }
 
 fn candidate(node: &str, zone: &str, state: Option<(OwnerState, Instant)>) -> Candidate {
@@ -154,6 +164,7 @@
                 allow_slow: false,
                 class: PriorityClass::Timely,
                 at_most_once: false,
+                sender: SenderId::default(),
             };
             if queues[owner].admit(request, now) == Admission::Run {
                 started += 1;
--- a/crates/mesh/tests/mesh/request_limit.rs
+++ b/crates/mesh/tests/mesh/request_limit.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use oleandertiller_mesh::admission_queue::{
-    Admission, AdmissionQueue, AdmissionRequest, Dequeued, PriorityClass,
+use oleandertiller_mesh::{
+    admission_queue::{Admission, AdmissionQueue, AdmissionRequest, Dequeued, PriorityClass},
+    sender_share::SenderId,
 };
 use oleandertiller_model::ErrorKind;
 use proptest::prelude::*;
@@ -25,6 +26,7 @@
         allow_slow: true,
         class: PriorityClass::Timely,
         at_most_once: false,
+        sender: SenderId::default(),
     }
 }
 
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -8,10 +8,12 @@
 
 use oleandertiller_mesh::{
     admission_queue::{ColdRate, OwnerState},
+    capacity_view::CapacityView,
     config::{Config, Route},
     latency_estimate::LatencyEstimate,
     leadership::{Leadership, ProcessId},
     members::{Member, Members, NodeRecord},
+    nested_calls::NestedCalls,
     placement::Candidate,
     retry_budget::{RetryBudget, RetryBudgetConfig},
     rollout::{AllowedVersions, Phase, RolloutPlan},
@@ -58,6 +60,10 @@
     pub lost_plans: BTreeSet<ServiceName>,
     /// Leaderships of rollouts by service.
     pub leaderships: BTreeMap<ServiceName, Leadership>,
+    /// Available capacity of the services, by the replies of their owners.
+    pub capacity: CapacityView,
+    /// Services that the requests of each route call while they run here.
+    pub nested_calls: NestedCalls,
     owner_states: HashMap<NodeName, (OwnerState, Instant)>,
     in_flight: HashMap<NodeName, u32>,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
@@ -83,6 +89,8 @@
             plans: BTreeMap::new(),
             lost_plans: BTreeSet::new(),
             leaderships: BTreeMap::new(),
+            capacity: CapacityView::default(),
+            nested_calls: NestedCalls::default(),
             owner_states: HashMap::new(),
             in_flight: HashMap::new(),
             limited_owners: HashMap::new(),
@@ -197,20 +205,36 @@
     /// Returns the owners of a service that may receive requests, with their records.
     pub fn owners(&self, service: &ServiceName, now: Instant) -> Vec<(Candidate, Arc<NodeRecord>)> {
         let allowed_versions = self.allowed_versions(service);
-        let is_eligible = |member: &&Member| {
-            let Some(upstream) = &member.record.upstream else { return false };
-            upstream.service == *service
-                && upstream.stage == Stage::Serving
-                && self.leaving_upstreams.get(&member.record.node) != Some(&upstream.incarnation)
-                && !member.record.stopping
-                && allowed_versions.allows(&upstream.version)
-                && self.is_zone_in_service(&member.record.zone)
-                && member.is_reachable(now)
-        };
-        let members = self.members.iter().filter(is_eligible);
+        let members = self.members.iter();
+        let members =
+            members.filter(|member| self.is_eligible(member, service, &allowed_versions, now));
         members.map(|member| (self.candidate(member, now), member.record.clone())).collect()
     }
 
+    /// Returns the number of owners of a service that may receive requests.
+    pub fn owner_count(&self, service: &ServiceName, now: Instant) -> usize {
+        let allowed_versions = self.allowed_versions(service);
+        let members = self.members.iter();
+        members.filter(|member| self.is_eligible(member, service, &allowed_versions, now)).count()
+    }
+
+    fn is_eligible(
+        &self,
+        member: &Member,
+        service: &ServiceName,
+        allowed_versions: &AllowedVersions,
+        now: Instant,
+    ) -> bool {
+        let Some(upstream) = &member.record.upstream else { return false };
+        upstream.service == *service
+            && upstream.stage == Stage::Serving
+            && self.leaving_upstreams.get(&member.record.node) != Some(&upstream.incarnation)
+            && !member.record.stopping
+            && allowed_versions.allows(&upstream.version)
+            && self.is_zone_in_service(&member.record.zone)
+            && member.is_reachable(now)
+    }
+
     fn candidate(&self, member: &Member, now: Instant) -> Candidate {
         let node = &member.record.node;
         Candidate {
@@ -264,6 +288,7 @@
     pub fn forget_owner(&mut self, node: &NodeName) {
         self.limited_owners.remove(node);
         self.leaving_upstreams.remove(node);
+        self.capacity.forget_owner(node);
     }
 
     /// Records the time from dispatch to answer of a request.
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -1,5 +1,6 @@
 //! The ingress: serves requests of external clients and of the local upstream.
 
+mod admission;
 mod attempts;
 mod dispatch;
 mod outcome;
@@ -181,7 +182,7 @@
                 (refusal.id.clone(), self.on_refusal(&refusal, arrived))
             }
             Ok(mut request) => {
-                request.parent = self.shared.owner.parent_of(&request.id);
+                request.set_parent(self.shared.owner.parent_of(&request.id, &request.service));
                 let outcome =
                     match select(pin!(self.run_request(&request)), pin!(conn.wait_for_close()))
                         .await
--- /dev/null
+++ b/src/mesh/ingress/admission.rs
@@ -0,0 +1,71 @@
+//! Early refusal: whether a request is offered at all, by what is known of the services' capacity.
+
+use std::time::{Duration, Instant};
+
+use oleandertiller_mesh::{
+    admission_queue::PriorityClass,
+    capacity_view::{Change, Need, Size, Verdict},
+};
+use oleandertiller_model::Clock;
+
+use super::{Ingress, request::ClientRequest};
+use crate::mesh::metrics::Admission;
+
+/// Least time by which a request's remaining time is shorter than that of others of its route if its
+/// client has returned after a refusal.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(30);
+
+impl<C: Clock> Ingress<C> {
+    /// Decides whether a request is refused without an offer; returns the time until capacity is
+    /// expected for it, if so.
+    pub(super) fn refuse_early(
+        &self,
+        request: &ClientRequest,
+        class: PriorityClass,
+        max_wait: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        // A nested call always gets an offer, since its refusal wastes the work of its parent.
+        if request.parent.is_some() {
+            return None;
+        }
+        let priority = (class, request.rank);
+        let need =
+            Need { service: &request.service, route: &request.route.name, priority, max_wait };
+        let (verdict, change) = {
+            let mut deployment = self.shared.deployment();
+            let owners = deployment.owner_count(&request.service, now);
+            let size = Size { owners, senders: deployment.members.peak_count() };
+            let verdict = deployment.capacity.decide(&need, size, now, rand::random());
+            let refused = matches!(verdict, Verdict::Refuse { .. });
+            (verdict, deployment.capacity.on_decided(&request.service, refused, now))
+        };
+        if let Some(change) = change {
+            log::info!(service = request.service.as_str(), begun = change == Change::Begun,
+                class:? = class, rank = request.rank, route = &*request.route.name;
+                "shortage of a service has begun or ended");
+        }
+        let count = |admission, reason| {
+            let (route, rank) = (&request.route.name, request.rank);
+            self.shared.metrics.count_admission(route, rank, admission, reason);
+        };
+        match verdict {
+            Verdict::Offer => None,
+            Verdict::Probe => {
+                count(Admission::Probe, "service-full");
+                None
+            }
+            Verdict::Refuse { shortage, expected_wait } => {
+                count(Admission::RefuseEarly, shortage.name());
+                Some(expected_wait)
+            }
+        }
+    }
+
+    /// Returns whether the client has probably sent the request before and was refused.
+    pub(super) fn has_returned(&self, request: &ClientRequest) -> bool {
+        let Some(remaining) = request.client_timeout else { return false };
+        let waited = self.shared.deployment().waited(&request.route.name, remaining);
+        waited >= MIN_RETURN_TIME
+    }
+}
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -15,6 +15,7 @@
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
     admission_queue::{OwnerState, PriorityClass},
+    capacity_view::Need,
     crash_suspects,
     members::NodeRecord,
     placement::{Candidate, shortest_wait, sort_by_cost},
@@ -32,12 +33,26 @@
 use crate::mesh::{
     deployment_state::time_left,
     message::{End, OFFER_PATH, Offer, Reply, Response},
-    metrics::{Decision, Dependency},
+    metrics::{Admission, Decision, Dependency},
 };
 
 /// Maximum number of owners that are offered a request in one round.
 const MAX_OWNERS_PER_ROUND: usize = 6;
 
+/// Maximum number of owners that are offered a request in one round although they are known to have
+/// no capacity for it.
+const MAX_FULL_OWNERS_PER_ROUND: usize = 2;
+
+/// Number of owners that refuse a request because a service that it would call is full, after which
+/// no other is asked.
+const MAX_CALLS_REFUSALS: usize = 2;
+
+/// Minimum wait at one owner, so that a request is not withdrawn as soon as it waits.
+const MIN_WAIT_PER_ROUND: Duration = Duration::from_millis(15);
+
+/// Minimum time between the offers of two rounds, as an owner may refuse a waiting request at once.
+const MIN_ROUND_TIME: Duration = Duration::from_millis(10);
+
 /// Maximum wait at one owner, after which all owners are asked again.
 const MAX_WAIT_PER_ROUND: Duration = Duration::from_millis(80);
 
@@ -65,6 +80,8 @@
     allow_slow: bool,
     /// Priority class in the owner's queue.
     class: PriorityClass,
+    /// Longest wait until its start, in all rounds.
+    max_wait: Duration,
 }
 
 /// Owners that may get an offer, the best first.
@@ -179,7 +196,11 @@
                 request,
                 attempts,
                 version_draw,
-                StartConditions { allow_slow: false, class: PriorityClass::Hedge },
+                StartConditions {
+                    allow_slow: false,
+                    class: PriorityClass::Hedge,
+                    max_wait: Duration::ZERO,
+                },
             )
             .await
         {
@@ -258,14 +279,28 @@
             Some(_) => {
                 time_left(request.deadline, request.arrived).mul_f64(NESTED_MAX_WAIT_FRACTION)
             }
+            // A client that was refused before does not return once more.
+            None if self.has_returned(request) => {
+                let answer_time = self.shared.deployment().mean_answer_time(&request.route);
+                time_left(request.deadline, request.arrived + answer_time)
+            }
             None => objective.mul_f64(MAX_WAIT_OBJECTIVE_FRACTION),
         };
         let wait_end = (request.arrived + max_wait).min(request.deadline);
+        let now = self.shared.clock.now();
+        let (class, _) = self.priority_class(request, now);
+        if let Some(wait) = self.refuse_early(request, class, time_left(wait_end, now), now) {
+            attempts.lock().expected_wait = Some(wait);
+            let end = End::NotRun { why: ErrorKind::Overloaded, arrived: false };
+            return (self.shared.settings.node.name.clone(), end);
+        }
         loop {
             let now = self.shared.clock.now();
+            let (class, class_until) = self.priority_class(request, now);
             let conditions = StartConditions {
                 allow_slow: now >= allow_slow_from,
-                class: self.priority_class(request, now),
+                class,
+                max_wait: time_left(wait_end, now),
             };
             let (states, why) =
                 match self.ask_round(request, attempts, version_draw, conditions).await {
@@ -289,18 +324,28 @@
                 return (this_node, End::NotRun { why: ErrorKind::Overloaded, arrived: false });
             }
             let round_wait = MAX_WAIT_PER_ROUND.min(time_left(wait_end, now));
+            // Its class must not be out of date while it waits: it would take the capacity of those
+            // that can still be in time.
+            let round_wait = round_wait.min(time_left(class_until, now).max(MIN_WAIT_PER_ROUND));
             self.shared.metrics.count_decision(Decision::Wait, why.answer().name);
+            self.shared.metrics.count_admission(
+                &request.route.name,
+                request.rank,
+                Admission::Wait,
+                why.answer().name,
+            );
             let offer = self.new_offer(request, attempts, &record, round_wait, conditions);
             if let Some(ended) = self.offer_with_wait(request, attempts, &record, offer).await {
                 return ended;
             }
+            self.shared.timers.at((now + MIN_ROUND_TIME).min(wait_end)).await;
         }
     }
 
-    /// Returns the priority class of a request that would start now.
-    fn priority_class(&self, request: &ClientRequest, now: Instant) -> PriorityClass {
+    /// Returns the priority class of a request that would start now, and until when it is that.
+    fn priority_class(&self, request: &ClientRequest, now: Instant) -> (PriorityClass, Instant) {
         if request.parent.is_some() {
-            return PriorityClass::Nested;
+            return (PriorityClass::Nested, request.deadline);
         }
         let mut deployment = self.shared.deployment();
         let waited = request
@@ -309,10 +354,9 @@
         let expected_latency = now.saturating_duration_since(request.arrived)
             + waited
             + deployment.mean_answer_time(&request.route);
-        if expected_latency > request.route.objective {
-            PriorityClass::Late
-        } else {
-            PriorityClass::Timely
+        match request.route.objective.checked_sub(expected_latency) {
+            Some(left) => (PriorityClass::Timely, now + left),
+            None => (PriorityClass::Late, request.deadline),
         }
     }
 
@@ -328,8 +372,15 @@
             self.rank_owners(request, attempts, version_draw);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
+        let (mut full_owners, mut calls_refusals) = (0, 0);
         for _ in 0..MAX_OWNERS_PER_ROUND {
             let Some(record) = preferred.next() else { break };
+            if self.is_full(request, &record, conditions) {
+                full_owners += 1;
+                if full_owners > MAX_FULL_OWNERS_PER_ROUND {
+                    continue;
+                }
+            }
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -339,6 +390,14 @@
                     attempts.record_hop(&record.node, kind.answer().name);
                     why = kind;
                     match kind {
+                        // The same service is full for the other owners as well.
+                        ErrorKind::Overloaded if !state.calls_wait.is_zero() => {
+                            calls_refusals += 1;
+                            if calls_refusals >= MAX_CALLS_REFUSALS {
+                                attempts.lock().expected_wait = Some(state.calls_wait);
+                                return RoundOutcome::Refused(Vec::new(), kind);
+                            }
+                        }
                         ErrorKind::Overloaded | ErrorKind::Cold => states.push((record, state)),
                         ErrorKind::CrashesUpstreams => {
                             attempts.lock().expected_wait = Some(crash_suspects::MIN_PAUSE);
@@ -369,6 +428,24 @@
         RoundOutcome::Refused(states, why)
     }
 
+    /// Returns whether an owner is known to have no capacity for a request.
+    fn is_full(
+        &self,
+        request: &ClientRequest,
+        record: &NodeRecord,
+        conditions: StartConditions,
+    ) -> bool {
+        let priority = (conditions.class, request.rank);
+        let need = Need {
+            service: &request.service,
+            route: &request.route.name,
+            priority,
+            max_wait: conditions.max_wait,
+        };
+        let now = self.shared.clock.now();
+        self.shared.deployment().capacity.is_full(&record.node, &need, now)
+    }
+
     /// Offers a request to an owner where it may wait; returns `None` if it is refused.
     async fn offer_with_wait(
         &self,
@@ -493,13 +570,14 @@
         Offer {
             id: request.id.clone(),
             node: record.node.clone(),
+            sender: self.shared.settings.node.name.clone(),
             service: request.service.clone(),
             rolling_out: self.shared.deployment().is_rolling_out(&request.service, &version),
             version,
             route: request.route.name.clone(),
             retry_safety: request.route.retry_safety,
             is_retry: attempts.is_retry(),
-            rank: request.route.rank,
+            rank: request.rank,
             method: request.method.clone(),
             target: request.target.clone(),
             headers: request.headers.clone(),
@@ -579,6 +657,18 @@
         let now = self.shared.clock.now();
         let mut deployment = self.shared.deployment();
         deployment.on_state(node, reply.state, now);
+        let priority = (offer.class, offer.rank);
+        deployment.capacity.on_state(&offer.service, node, priority, reply.state, now);
+        match &reply.end {
+            End::NotRun { why: ErrorKind::Overloaded, arrived: false } => {
+                let wait = reply.state.calls_wait;
+                if !wait.is_zero() {
+                    deployment.capacity.on_calls(&offer.route, Some(wait), now);
+                }
+            }
+            End::Answered(_) => deployment.capacity.on_calls(&offer.route, None, now),
+            _ => {}
+        }
         match &reply.end {
             End::Answered(response) => {
                 let limited = response.headers.get(header::REQUEST_LIMIT).is_some();
@@ -603,8 +693,16 @@
 }
 
 /// State that is assumed for an owner whose reply was lost.
-const UNKNOWN_STATE: OwnerState =
-    OwnerState { running: 0, waiting: 0, slots: 0, slowness: 100, expected_wait: Duration::ZERO };
+const UNKNOWN_STATE: OwnerState = OwnerState {
+    running: 0,
+    waiting: 0,
+    slots: 0,
+    slowness: 100,
+    expected_wait: Duration::ZERO,
+    starts_per_minute: 0,
+    turned_away: None,
+    calls_wait: Duration::ZERO,
+};
 
 /// Ends an offer in this node's count of requests in flight to its owner when it is dropped.
 struct InFlightCountGuard<'a, C: Clock> {
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -30,6 +30,8 @@
     pub route: Arc<Route>,
     /// Version of the configuration that the route comes from.
     pub config: u64,
+    /// Priority in the owners' queues; 0 is the most urgent.
+    pub rank: u32,
     /// Service that the request is routed to.
     pub service: ServiceName,
     /// HTTP method, passed to the upstream unchanged.
@@ -116,6 +118,7 @@
         Ok(Self {
             id,
             parent: None,
+            rank: route.rank,
             route,
             config: version_of(cfg),
             service,
@@ -129,6 +132,17 @@
         })
     }
 
+    /// Records the running request on whose behalf the request is made, if any. The request inherits
+    /// its rank and remaining time: nobody waits for the answer after that, and the parent fails
+    /// without it.
+    pub fn set_parent(&mut self, parent: Option<Parent>) {
+        if let Some(parent) = &parent {
+            self.rank = parent.rank;
+            self.deadline = self.deadline.min(parent.deadline);
+        }
+        self.parent = parent;
+    }
+
     /// Returns why the request is refused although it is valid.
     pub fn refuse(self, kind: ErrorKind) -> Refusal {
         let host = self.headers.get("host").unwrap_or("").to_owned();
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -44,6 +44,8 @@
     pub id: Arc<str>,
     /// Node of the owner that the offer is for.
     pub node: NodeName,
+    /// Node that sends the offer.
+    pub sender: NodeName,
     /// Service that the request is routed to.
     pub service: ServiceName,
     /// Version that the upstream is expected to have.
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -38,6 +38,15 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct AdmissionLabels {
+    route: String,
+    rank: u32,
+    admission: &'static str,
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct CallLabels {
@@ -86,6 +95,27 @@
     }
 }
 
+/// What an ingress does with a request that does not start at once, as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It waits in the queue of an owner.
+    Wait,
+    /// It is refused without an offer.
+    RefuseEarly,
+    /// It is offered although no owner is known to have capacity.
+    Probe,
+}
+
+impl Admission {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Wait => "wait",
+            Self::RefuseEarly => "refuse-early",
+            Self::Probe => "probe",
+        }
+    }
+}
+
 /// Dependency of a node, as a metric label.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Dependency {
@@ -120,6 +150,7 @@
     requests: Family<RequestLabels, Counter>,
     request_times: Family<RouteLabels, Histogram>,
     decisions: Family<DecisionLabels, Counter>,
+    admissions: Family<AdmissionLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     call_times: Family<DependencyLabels, Histogram>,
     config: Gauge,
@@ -140,6 +171,7 @@
             Histogram::new(exponential_buckets(0.005, 2.0, 13))
         });
         let decisions = Family::<DecisionLabels, Counter>::default();
+        let admissions = Family::<AdmissionLabels, Counter>::default();
         let calls = Family::<CallLabels, Counter>::default();
         let call_times = Family::<DependencyLabels, Histogram>::new_with_constructor(|| {
             // 1 ms to 16 s.
@@ -151,6 +183,11 @@
         registry.register("requests", "Requests that ended at the ingress", requests.clone());
         registry.register("request_seconds", "Time to the final answer", request_times.clone());
         registry.register("decisions", "Decisions on requests, by reason", decisions.clone());
+        registry.register(
+            "admissions",
+            "Requests that did not start at once, by route and rank",
+            admissions.clone(),
+        );
         registry.register("calls", "Calls to what the node depends on", calls.clone());
         registry.register("call_seconds", "Time of these calls", call_times.clone());
         registry.register("config_version", "Configuration in force, 0 for none", config.clone());
@@ -183,6 +220,7 @@
             requests,
             request_times,
             decisions,
+            admissions,
             calls,
             call_times,
             config,
@@ -211,6 +249,19 @@
         self.decisions.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that did not start at once; `reason` comes from a fixed set.
+    pub fn count_admission(
+        &self,
+        route: &str,
+        rank: u32,
+        admission: Admission,
+        reason: &'static str,
+    ) {
+        let (route, admission) = (self.route_label(route), admission.name());
+        let labels = AdmissionLabels { route, rank, admission, reason };
+        self.admissions.get_or_create(&labels).inc();
+    }
+
     /// Records a call to a dependency; `call` and `outcome` each come from a fixed set.
     pub fn record_call(
         &self,
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -3,6 +3,7 @@
 //! The owner decides whether the upstream may get a request, by its slots, cold start, draining,
 //! zone and version. It knows these exactly at the moment of sending, even if the ingress does not.
 
+mod calls;
 mod health;
 mod run;
 
@@ -22,12 +23,13 @@
     crash_suspects::{CrashSuspects, Fingerprint, Verdict, chosen_owner},
     exposure::OwnerExposure,
     rollout::Evidence,
+    sender_share::SenderId,
     stop::StopSchedule,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
-use oleandertiller_platform::header::is_nested_id;
 
+pub use self::calls::Parent;
 use super::{
     deployment_state::DeploymentState,
     http::HttpConn,
@@ -67,15 +69,9 @@
     is_retry: bool,
     /// Whether the upstream has made calls for it.
     made_calls: bool,
-}
-
-/// A running request on whose behalf the upstream makes a nested call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Parent {
-    /// Id of the request.
-    pub id: Arc<str>,
-    /// Whether another upstream may have run it already.
-    pub is_retry: bool,
+    route: Arc<str>,
+    rank: u32,
+    deadline: Instant,
 }
 
 /// Configuration of an owner.
@@ -295,14 +291,6 @@
         (!admitted).then_some(ErrorKind::VersionVetoed)
     }
 
-    /// Returns the running request on whose behalf the upstream sends the one with `id`.
-    pub fn parent_of(&self, id: &str) -> Option<Parent> {
-        let mut inner = self.lock();
-        let run = inner.running.iter_mut().find(|run| is_nested_id(id, &run.id))?;
-        run.made_calls = true;
-        Some(Parent { id: run.id.clone(), is_retry: run.is_retry })
-    }
-
     /// Returns the requests per second that fill the upstream's slots.
     pub fn full_rate(&self) -> f64 {
         self.lock().queue.full_rate()
@@ -331,7 +319,10 @@
     pub async fn offer(&self, offer: &Offer) -> Reply {
         let deadline = self.clock.now() + offer.remaining.min(MAX_REMAINING);
         let end = self.admit_and_run(offer, deadline).await;
-        let state = self.state(offer);
+        let mut state = self.state(offer);
+        if let End::NotRun { why: ErrorKind::Overloaded, arrived: false } = end {
+            state.calls_wait = self.calls_wait(offer).unwrap_or_default();
+        }
         let (decision, reason) = end.decision();
         self.metrics.count_decision(decision, reason);
         // The ingress logs each owner's reply, so only failures on the upstream are logged here.
@@ -363,13 +354,24 @@
             (Verdict::NotHere, _) => return not_run(ErrorKind::CrashSuspect),
             (Verdict::Refuse, _) => return not_run(ErrorKind::CrashesUpstreams),
         };
+        if self.calls_wait(offer).is_some() {
+            return not_run(ErrorKind::Overloaded);
+        }
         self.refresh_load().await;
         let now = self.clock.now();
         let wait_until = (now + offer.max_wait.min(MAX_REMAINING)).min(deadline);
         let Offer { rank, allow_slow, class, .. } = *offer;
+        let sender = SenderId::new(&offer.sender);
         let at_most_once = offer.retry_safety == RetrySafety::AtMostOnce;
-        let admission_request =
-            AdmissionRequest { rank, deadline, wait_until, allow_slow, class, at_most_once };
+        let admission_request = AdmissionRequest {
+            rank,
+            deadline,
+            wait_until,
+            allow_slow,
+            class,
+            at_most_once,
+            sender,
+        };
         let needs_grant = self.deployment().needs_grant(&offer.service, &offer.version);
         let needs_grant = needs_grant.unwrap_or(offer.rolling_out);
         let admission = {
@@ -405,7 +407,11 @@
             suspect,
             is_retry: offer.is_retry,
             made_calls: false,
+            route: offer.route.clone(),
+            rank: offer.rank,
+            deadline,
         });
+        self.deployment().nested_calls.on_request(&offer.route, self.clock.now());
         let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
         let started = self.clock.now();
         let end = self.run_on_upstream(offer, deadline).await;
