--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -10,6 +10,7 @@
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, OwnerState, PriorityClass},
     peer_health::PeerHealth,
     placement::{Candidate, Position, order_by_cost, shortest_wait},
+    sender_share::SenderId,
     upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::NodeName;
@@ -18,8 +19,17 @@
 fn state(running: u32, slowness: u32, wait_ms: u64) -> OwnerState {
     let expected_wait = Duration::from_millis(wait_ms);
     let free = 6_u32.saturating_sub(running) as u16;
-    let capacity = UpstreamCapacity { free, ..UpstreamCapacity::UNKNOWN };
-    OwnerState { running, waiting: 0, slots: 6, slowness, expected_wait, capacity }
+    OwnerState {
+        capacity: UpstreamCapacity { free, ..UpstreamCapacity::UNKNOWN },
+        running,
+        waiting: 0,
+        slots: 6,
+        slowness,
+        expected_wait,
+        starts_per_minute: 0,
+        turned_away: None,
+        calls_wait: Duration::ZERO,
+    }
 }
 
 fn candidate(node: &str, zone: &str, state: Option<(OwnerState, Instant)>) -> Candidate {
@@ -186,6 +196,7 @@
                 allow_slow: false,
                 class: PriorityClass::Timely,
                 at_most_once: false,
+                sender: SenderId::default(),
             };
             if queues[owner].admit(request, now) == Admission::Run {
                 started += 1;
