Check API keys of tenants, and report their usage

Cause: deployments with tenants need requests to be refused without a known key, and each tenant's usage to be reported once a window by one node. Change: keys are kept as keyed digests and never relayed; a tenant's priority is its requests' rank; owners count starts, and one node collects, stores and posts them under a fencing token.

--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -78,6 +78,7 @@
             | ErrorKind::BadDeadline
             | ErrorKind::DepthExceeded
             | ErrorKind::Unauthorized
+            | ErrorKind::UnknownApiKey
             | ErrorKind::Cancelled => None,
             ErrorKind::ZoneOut | ErrorKind::Draining => Some(Self::ZoneMove),
             ErrorKind::VersionVetoed => Some(Self::Rollout),
--- a/crates/language/src/advice.rs
+++ b/crates/language/src/advice.rs
@@ -79,6 +79,9 @@
         ErrorKind::PeerProtocol => "Check that all nodes run versions that understand each other.",
         ErrorKind::Cancelled => "Nothing; the client closed its connection before the answer.",
         ErrorKind::Unauthorized => "Send the operator's token from `[operators]`.",
+        ErrorKind::UnknownApiKey => {
+            "Send `Authorization: Bearer KEY` with a key that the configuration lists."
+        }
         ErrorKind::Internal => "Report it, with the node's log lines of that time.",
     }
 }
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -5,6 +5,8 @@
 use oleandertiller_model::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::tenants::Tenants;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -58,6 +60,8 @@
     pub objective: Duration,
     /// Priority; 0 is the highest.
     pub rank: u32,
+    /// Whether requests without a known API key may run although there are tenants.
+    pub allow_anonymous: bool,
     /// Maximum time until a client gets an answer.
     pub timeout: Duration,
     /// Maximum number of upstreams that one request is sent to.
@@ -93,6 +97,8 @@
     pub hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
+    /// Tenants; requests need no API key if `None`.
+    pub tenants: Option<Tenants>,
 }
 
 impl Config {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`crash_suspects`]: which requests crash the upstreams that run them.
 //! - [`exposure`]: how many requests a version gets while it is rolled out.
 //! - [`latency_estimate`]: how long answers take, and when a request is hedged.
-//! - [`leadership`]: which process leads the rollouts of a service.
+//! - [`leadership`]: which process leads the rollouts of a service, or has a duty for all services.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
 //! - [`placement`]: in which order an ingress asks the owners.
@@ -17,8 +17,10 @@
 //! - [`retry_budget`]: how many retries this node may send.
 //! - [`rollout`]: which versions may serve, and whether a new version is good.
 //! - [`stop`]: the times of a planned stop.
+//! - [`tenants`]: which requests may run, for whom, and with which priority.
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
+//! - [`usage`]: how many requests of each tenant began to run, and who reports that.
 
 pub mod admission_queue;
 pub mod change_feed;
@@ -35,5 +37,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod stop;
+pub mod tenants;
 pub mod token_bucket;
 pub mod upstream;
+pub mod usage;
--- a/crates/mesh/tests/mesh/config.rs
+++ b/crates/mesh/tests/mesh/config.rs
@@ -15,6 +15,7 @@
         retry_safety: RetrySafety::Idempotent,
         objective: Duration::from_millis(500),
         rank: 1,
+        allow_anonymous: false,
         timeout: Duration::from_secs(2),
         attempts: 2,
         split: parts.iter().map(part).collect(),
@@ -33,6 +34,7 @@
         },
         hosts: BTreeMap::from([("shop.example".into(), routes)]),
         services: BTreeMap::new(),
+        tenants: None,
     }
 }
 
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -15,4 +15,5 @@
 mod retry_budget;
 mod rollout;
 mod stop;
+mod tenants;
 mod upstream;
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -144,6 +144,8 @@
     Cancelled => "cancelled", 499, false, false, "The client cancelled the request.";
     /// The operator's token is missing or wrong.
     Unauthorized => "unauthorized", 401, true, false, "The operator token is missing or wrong.";
+    /// The request carries no API key that the configuration knows.
+    UnknownApiKey => "unknown-api-key", 401, true, false, "The API key is missing or unknown.";
     /// A fault of the node itself.
     Internal => "internal", 500, false, false, "The node failed internally.";
 }
--- a/src/mesh/change_feed.rs
+++ b/src/mesh/change_feed.rs
@@ -11,7 +11,11 @@
     ReplyWait,
 };
 use oleandertiller_model::Clock;
-use oleandertiller_platform::store::Event;
+use oleandertiller_platform::{
+    rollout::CONFIG_KEY,
+    store::{Event, Item},
+    tenants::without_keys,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::node::timer::Timers;
@@ -48,15 +52,24 @@
 pub enum RelayedChange {
     /// The change with its value.
     Whole(Event),
-    /// The key of a value that is too large to relay; it is to be read from the store.
+    /// The key of a value that is too large to relay, or that may hold API keys; it is to be read
+    /// from the store.
     Key(String),
 }
 
 impl RelayedChange {
     fn new(event: &Event) -> Self {
+        let event = match event {
+            Event::Put(item) if item.key == CONFIG_KEY => match without_keys(&item.value) {
+                Ok(value) => Event::Put(Item { value, ..item.clone() }),
+                // A malformed configuration may hold keys anywhere.
+                Err(_) => return Self::Key(item.key.clone()),
+            },
+            event => event.clone(),
+        };
         match event {
-            Event::Put(item) if item.value.len() > MAX_RELAYED_BYTES => Self::Key(item.key.clone()),
-            event => Self::Whole(event.clone()),
+            Event::Put(item) if item.value.len() > MAX_RELAYED_BYTES => Self::Key(item.key),
+            event => Self::Whole(event),
         }
     }
 }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -36,6 +36,9 @@
     rollout_leader::RolloutLeader,
     store::Store,
     store_watcher::StoreWatcher,
+    usage_counter::{CountsRequest, USAGE_COUNTS_PATH},
+    usage_poster::UsagePoster,
+    usage_reporter::UsageReporter,
 };
 use crate::{
     node::{
@@ -100,6 +103,8 @@
     /// The record as last written, and the store's revision of it.
     stored_record: Mutex<Option<(u64, NodeRecord)>>,
     lease: Mutex<Option<u64>>,
+    /// Until when the lease lasts at least.
+    lease_until: Mutex<Option<Instant>>,
     store_failures: Event,
 }
 
@@ -195,6 +200,17 @@
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
     }
 
+    /// Records that the lease of the node's record lasts at least until a time.
+    pub fn set_lease_until(&self, until: Instant) {
+        *self.lease_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    /// Returns the lease of the node's record if it has certainly not ended.
+    pub fn valid_lease(&self) -> Option<u64> {
+        let until = *self.lease_until.lock().unwrap_or_else(PoisonError::into_inner);
+        self.lease().filter(|_| until.is_some_and(|until| self.clock.now() < until))
+    }
+
     /// Returns the revision of the leader's key if this process leads the service's rollouts.
     pub fn leadership_revision(&self, service: &ServiceName) -> Option<u64> {
         let deployment = self.deployment();
@@ -265,6 +281,12 @@
                 }
                 Some(codec::encode(&change_feed.answer(request, clock, timers).await))
             }
+            USAGE_COUNTS_PATH => {
+                let request: CountsRequest = codec::decode(&body).ok()?;
+                let Shared { owner, process, clock, .. } = &*self.0;
+                let reply = owner.usage.answer(request, process.incarnation, clock.wall());
+                Some(codec::encode(&reply))
+            }
             REPORT_PATH => {
                 let request: ReportRequest = codec::decode(&body).ok()?;
                 Some(codec::encode(&self.0.owner.report(request)))
@@ -315,6 +337,11 @@
         if let Some(exposure) = shared.exposure() {
             task::spawn(RolloutLeader::new(shared.clone(), exposure).run());
         }
+        if let Some(usage) = shared.settings.usage.reporting() {
+            let reporter = UsageReporter::new(shared.clone(), usage.windows, usage.tenure);
+            task::spawn(reporter.run());
+            task::spawn(UsagePoster::new(shared.clone(), usage.address).run());
+        }
         task::spawn(CrashReporter::new(shared.clone()).run());
         let registration = task::spawn(Registration::new(shared.clone()).run(record_changed));
         task::spawn(expire(shared.clone()));
@@ -378,6 +405,7 @@
         zone: settings.node.zone.clone(),
         min_health_check_interval: Duration::from_secs_f64(min_health_check_interval),
         max_response_body_bytes: MAX_RESPONSE_BYTES,
+        usage: settings.usage.reporting().map(|usage| usage.windows),
     };
     let deployment = Arc::new(Mutex::new(DeploymentState::new(budget, clock.now())));
     let metrics = Arc::new(Metrics::default());
@@ -410,6 +438,7 @@
         active: AtomicUsize::new(0),
         rewrite: AtomicBool::new(false),
         lease: Mutex::new(None),
+        lease_until: Mutex::new(None),
         store_failures: Event::new(),
         store_read: Flag::default(),
         store_unreachable: Flag::default(),
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -20,6 +20,8 @@
 use oleandertiller_model::{NodeName, ServiceName, VersionName, ZoneName};
 use oleandertiller_platform::rollout::RolloutOrder;
 
+use super::usage_view::UsageView;
+
 /// Time after which an owner that was not asked again counts as unlimited: it may have recovered.
 const LIMIT_MEMORY: Duration = Duration::from_secs(10);
 
@@ -58,6 +60,8 @@
     pub lost_plans: BTreeSet<ServiceName>,
     /// Leaderships of rollouts by service.
     pub leaderships: BTreeMap<ServiceName, Leadership>,
+    /// Usage reports as the store holds them.
+    pub usage: UsageView,
     owner_states: HashMap<NodeName, (OwnerState, Instant)>,
     in_flight: HashMap<NodeName, u32>,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
@@ -83,6 +87,7 @@
             plans: BTreeMap::new(),
             lost_plans: BTreeSet::new(),
             leaderships: BTreeMap::new(),
+            usage: UsageView::default(),
             owner_states: HashMap::new(),
             in_flight: HashMap::new(),
             limited_owners: HashMap::new(),
@@ -99,6 +104,7 @@
     /// the rollouts for [`Self::resume_rollouts`].
     pub fn forget_era(&mut self) -> KnownRollouts {
         self.leaderships.clear();
+        self.usage.on_removed(u64::MAX);
         KnownRollouts {
             orders: std::mem::take(&mut self.orders),
             plans: std::mem::take(&mut self.plans),
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -1,5 +1,6 @@
 //! The ingress: serves requests of external clients and of the local upstream.
 
+mod access;
 mod attempts;
 mod dispatch;
 mod outcome;
@@ -172,16 +173,17 @@
         }
         let close = head.close;
         let caller = self.shared.caller();
-        let request =
-            ClientRequest::read(head, body, arrived, self.shared.config().as_deref(), &caller);
+        let parent = head.headers.get(header::REQUEST_ID);
+        let parent = parent.and_then(|id| self.shared.owner.parent_of(id));
+        let cfg = self.shared.config();
+        let request = ClientRequest::read(head, body, arrived, cfg.as_deref(), &caller, parent);
         let (id, outcome) = match request {
             Err(refusal) => (refusal.id.clone(), self.on_refusal(&refusal, arrived)),
             Ok(request) if !self.ends_before_exit(&request) => {
                 let refusal = request.refuse(ErrorKind::Draining);
                 (refusal.id.clone(), self.on_refusal(&refusal, arrived))
             }
-            Ok(mut request) => {
-                request.parent = self.shared.owner.parent_of(&request.id);
+            Ok(request) => {
                 let outcome =
                     match select(pin!(self.run_request(&request)), pin!(conn.wait_for_close()))
                         .await
@@ -288,6 +290,9 @@
                 }
                 headers.set("Content-Type", "text/plain");
                 let (status, text) = (failure.status(), failure.kind.answer().text);
+                if status == 401 {
+                    headers.set("WWW-Authenticate", "Bearer");
+                }
                 if status == 503 {
                     let remaining =
                         time_left(outcome.deadline.unwrap_or(arrived), self.shared.clock.now());
--- a/src/mesh/ingress/attempts.rs
+++ b/src/mesh/ingress/attempts.rs
@@ -50,6 +50,13 @@
         state.may_have_run || state.upstreams_reached > 0 || !state.in_flight.is_empty()
     }
 
+    /// Returns whether an attempt may have begun to run, so that no other one counts as usage. What
+    /// upstreams have refused has not.
+    pub(super) fn has_begun(&self) -> bool {
+        let state = self.lock();
+        state.may_have_run || !state.in_flight.is_empty()
+    }
+
     /// Appends an owner and its reply to the hops.
     pub(super) fn record_hop(&self, node: &NodeName, reply: &str) {
         let hops = &mut self.lock().hops;
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -288,6 +288,10 @@
                 attempts.lock().expected_wait = Some(states[best].1.expected_wait);
                 return (this_node, End::NotRun { why: ErrorKind::Overloaded, arrived: false });
             }
+            if self.is_revoked(request) {
+                let why = ErrorKind::UnknownApiKey;
+                return (this_node, End::NotRun { why, arrived: false });
+            }
             let round_wait = MAX_WAIT_PER_ROUND.min(time_left(wait_end, now));
             self.shared.metrics.count_decision(Decision::Wait, why.answer().name);
             let offer = self.new_offer(request, attempts, &record, round_wait, conditions);
@@ -330,6 +334,9 @@
         let mut why = ErrorKind::NoUpstream;
         for _ in 0..MAX_OWNERS_PER_ROUND {
             let Some(record) = preferred.next() else { break };
+            if self.is_revoked(request) {
+                return RoundOutcome::Refused(Vec::new(), ErrorKind::UnknownApiKey);
+            }
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -499,7 +506,12 @@
             route: request.route.name.clone(),
             retry_safety: request.route.retry_safety,
             is_retry: attempts.is_retry(),
-            rank: request.route.rank,
+            rank: request.rank,
+            tenant: request
+                .tenant
+                .as_ref()
+                .filter(|_| !attempts.has_begun())
+                .map(|t| t.name.clone()),
             method: request.method.clone(),
             target: request.target.clone(),
             headers: request.headers.clone(),
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -5,11 +5,14 @@
     time::{Duration, Instant},
 };
 
-use oleandertiller_mesh::config::{Config, RetrySafety, Route};
+use oleandertiller_mesh::{
+    config::{Config, RetrySafety, Route},
+    tenants::{ApiKey, Tenant},
+};
 use oleandertiller_model::{ErrorKind, ServiceName};
 use oleandertiller_platform::header;
 
-use super::version_of;
+use super::{access::check_access, version_of};
 use crate::mesh::{
     http::{Headers, RequestHead},
     owner::Parent,
@@ -36,6 +39,10 @@
     pub method: String,
     /// Path and query.
     pub target: String,
+    /// Priority in queues, of its tenant or else of its route; 0 is the highest.
+    pub rank: u32,
+    /// Tenant whose key it carries, if any.
+    pub tenant: Option<RequestTenant>,
     /// Headers for the upstream.
     pub headers: Headers,
     /// Complete body, without chunked coding.
@@ -48,6 +55,15 @@
     pub deadline: Instant,
 }
 
+/// The tenant of a request and the key that tells it.
+#[derive(Clone, Debug)]
+pub struct RequestTenant {
+    /// Name given by the operators.
+    pub name: Arc<str>,
+    /// Key, for another check when the configuration has changed.
+    pub key: ApiKey,
+}
+
 /// Why a request is refused, and what is known about it.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -64,17 +80,20 @@
 }
 
 impl ClientRequest {
-    /// Validates and routes a request; `caller` is the service of the local upstream.
+    /// Validates and routes a request; `caller` is the service of the local upstream, and `parent`
+    /// the request that it runs and makes this one for.
     ///
     /// # Errors
     ///
-    /// Returns the reason if the request is malformed or has no route or service.
+    /// Returns the reason if the request is malformed, has no route or service, or has no known API key
+    /// where one is required.
     pub fn read(
         head: RequestHead,
         body: Vec<u8>,
         arrived: Instant,
         cfg: Option<&Config>,
         caller: &ServiceName,
+        parent: Option<Parent>,
     ) -> Result<Self, Refusal> {
         let id: Option<Arc<str>> = head.headers.get(header::REQUEST_ID).map(Arc::from);
         let host = head.headers.get("host").unwrap_or("").to_owned();
@@ -95,7 +114,11 @@
             (None, ..) | (_, Ok(_), Ok(_)) => Err(ErrorKind::BadRequest),
             (_, Err(kind), _) | (.., Err(kind)) => Err(kind),
         };
-        let (id, route, service, client_timeout) = match checked {
+        let checked = checked.and_then(|checked| {
+            let access = check_access(cfg, &checked.1, &head.headers, parent.is_some())?;
+            Ok((checked, access))
+        });
+        let ((id, route, service, client_timeout), tenant) = match checked {
             Ok(checked) => checked,
             Err(kind) => {
                 let id = head.headers.get(header::REQUEST_ID).map(Arc::from);
@@ -113,14 +136,25 @@
             headers.remove(name);
         }
         headers.set(header::CALLER_SERVICE, caller.as_str());
+        if cfg.is_some_and(|cfg| cfg.tenants.is_some()) {
+            headers.remove(header::AUTHORIZATION);
+        }
+        if let Some((tenant, _)) = &tenant {
+            headers.set(header::TENANT, &*tenant.name);
+        }
+        let rank = tenant.as_ref().and_then(|(tenant, _)| tenant.priority).unwrap_or(route.rank);
+        let tenant =
+            tenant.map(|(Tenant { name, .. }, key)| RequestTenant { name: name.clone(), key });
         Ok(Self {
             id,
-            parent: None,
+            parent,
             route,
             config: version_of(cfg),
             service,
             method: head.method,
             target: head.target,
+            rank,
+            tenant,
             headers,
             body,
             arrived,
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -58,8 +58,11 @@
     /// Whether another upstream may have run it already.
     #[serde(rename = "again")]
     pub is_retry: bool,
-    /// Rank of the route in the queue; 0 is the most urgent.
+    /// Rank in the queue, of the tenant or else of the route; 0 is the most urgent.
     pub rank: u32,
+    /// Tenant whose usage the request counts as; `None` if there is none, or if another attempt at
+    /// the request counts.
+    pub tenant: Option<Arc<str>>,
     /// HTTP method, passed to the upstream unchanged.
     pub method: String,
     /// Path and query.
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -17,6 +17,8 @@
     registry::Registry,
 };
 
+use super::usage_metrics::UsageMetrics;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct RequestLabels {
@@ -95,6 +97,8 @@
     Upstream,
     /// Another node.
     Peer,
+    /// The platform's receiver of usage reports.
+    Usage,
 }
 
 impl Dependency {
@@ -103,6 +107,7 @@
             Self::Store => "store",
             Self::Upstream => "upstream",
             Self::Peer => "peer",
+            Self::Usage => "usage",
         }
     }
 }
@@ -128,6 +133,8 @@
     store_era: Gauge,
     rollout_requests: Gauge,
     rollout_allowed_requests: Gauge,
+    /// Gauges of the usage reports.
+    pub usage: UsageMetrics,
     routes: Mutex<BTreeSet<String>>,
 }
 
@@ -177,6 +184,7 @@
             "Requests that a bad version may have got by now, where this node leads its rollout",
             rollout_allowed_requests.clone(),
         );
+        let usage = UsageMetrics::register(&mut registry);
         let routes = Mutex::default();
         Self {
             registry,
@@ -191,6 +199,7 @@
             store_era,
             rollout_requests,
             rollout_allowed_requests,
+            usage,
             routes,
         }
     }
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -24,6 +24,7 @@
     rollout::Evidence,
     stop::StopSchedule,
     upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
+    usage::Windows,
 };
 use oleandertiller_model::{Clock, ErrorKind, NodeName, VersionName, ZoneName};
 use oleandertiller_platform::header::is_nested_id;
@@ -34,6 +35,7 @@
     message::{CrashReport, End, Offer, OwnerReport, Reply, ReportRequest},
     metrics::Metrics,
     upstream::Pool,
+    usage_counter::UsageCounter,
 };
 use crate::node::timer::Timers;
 
@@ -88,6 +90,8 @@
     pub min_health_check_interval: Duration,
     /// Largest body of an upstream's response, in bytes.
     pub max_response_body_bytes: usize,
+    /// Windows in which the requests of tenants are counted, if they are.
+    pub usage: Option<Windows>,
 }
 
 /// Admits requests to the local upstream and runs them on it.
@@ -99,6 +103,8 @@
     metrics: Arc<Metrics>,
     inner: Mutex<Inner>,
     pool: Pool,
+    /// Counts of the requests that have begun to run.
+    pub usage: UsageCounter,
     /// Triggers a write of the node's record after a change of the upstream's stage.
     record_changed: Sender<()>,
     /// Notified when the other owners have to learn of a crash.
@@ -187,6 +193,7 @@
         let health_conn = async_std::sync::Mutex::new(None);
         let pool = Pool::default();
         Self {
+            usage: UsageCounter::new(cfg.usage),
             cfg,
             clock,
             timers,
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -55,6 +55,7 @@
         let reused = pooled.reused;
         let run =
             RunGuard { owner: self, offer, version: &announcement.version, started, slowness };
+        let window = self.usage.begin(offer, self.clock.wall());
         let work = exchange(pooled, &request, &offer.id, self.cfg.max_response_body_bytes);
         let result = self.timers.within(deadline, work).await;
         let now = self.clock.now();
@@ -75,6 +76,9 @@
             Some(Err(ExchangeError { why, .. })) => End::Unknown(why),
             Some(Ok(exchange)) => self.classify_response(exchange, &announcement, now),
         };
+        if let End::NotRun { .. } = end {
+            self.usage.take_back(offer, window);
+        }
         if let End::Answered(_) = end {
             self.on_completed(offer);
         }
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -136,6 +136,7 @@
             let sent = self.shared.clock.now();
             match self.shared.store.call(&Call::Renew { lease }).await {
                 Ok(Answer::Leased { .. }) if !self.forget_if_restored() => {
+                    self.shared.set_lease_until(sent + self.lease_ttl);
                     let change_feed = &self.shared.change_feed;
                     change_feed.update_freshness(|freshness| freshness.on_confirmed(sent));
                     return true;
@@ -157,11 +158,13 @@
         let known_nodes = self.shared.deployment().members.iter().count();
         let ttl = lease_ttl(settings.lease, known_nodes, settings.writes_per_second)
             .max(settings.shortest_lease);
+        let sent = self.shared.clock.now();
         match self.shared.store.call_in_era(&Call::Grant { ttl }).await {
             Ok((Answer::Leased { lease: Some(lease), ttl: granted }, era)) => {
                 self.era = era;
                 self.lease_ttl = granted_ttl(granted, ttl, settings.shortest_lease);
                 self.set_lease(Some(lease));
+                self.shared.set_lease_until(sent + self.lease_ttl);
             }
             _ => return false,
         }
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -13,21 +13,22 @@
 use futures_util::future::join_all;
 use oleandertiller_mesh::{
     exposure::{Demand, ExposureLedger, ExposureLimit, Grant, RequestRate},
-    leadership::{Candidate, LeaderStep, Leadership, ProcessId},
+    leadership::{Candidate, LeaderStep},
     members::NodeRecord,
     rollout::{Assessor, Evidence, Finding, Phase, RolloutPlan, RolloutProgress, Step, next_step},
 };
 use oleandertiller_model::{Clock, NodeName, ServiceName, VersionName, codec};
 use oleandertiller_platform::{
     rollout::{RolloutState, STATUS_PREFIX, write_status},
-    store::{Answer, Call, Item, Transaction},
+    store::{Answer, Call, Transaction},
 };
 
 use super::{
     daemon::Shared,
     deployment_state::ReceivedOrder,
+    leadership::{LEADER_PREFIX, is_duty},
     message::{OwnerReport, REPORT_PATH, ReportRequest},
-    store_watcher::{LEADER_PREFIX, PLAN_PREFIX},
+    store_watcher::PLAN_PREFIX,
 };
 
 /// Interval between two assessments; meanwhile a bad version fails tens of requests per second.
@@ -36,17 +37,6 @@
 /// Timeout of requesting the report of an owner.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Decodes a leader's key. Earlier releases write only the name of the node, which names none of the
-/// processes of this release.
-pub fn read_leadership(item: &Item) -> Leadership {
-    let leader = serde_json::from_slice(&item.value).unwrap_or_else(|_| ProcessId {
-        node: NodeName::new(String::from_utf8_lossy(&item.value).as_ref()),
-        incarnation: 0,
-        nonce: 0,
-    });
-    Leadership { revision: item.revision, leader }
-}
-
 /// What a leader grants to the owners of the new version.
 #[derive(Clone, Copy, Debug, Default)]
 enum Granting {
@@ -117,13 +107,12 @@
         }
     }
 
-    /// Gives up all leaderships until the process exits, so that another node can take over. A
-    /// write may take effect late, and an answer may be lost.
+    /// Gives up all leaderships of rollouts until the process exits, so that another node can take
+    /// over. A write may take effect late, and an answer may be lost.
     async fn resign(&self) {
         loop {
-            let held = self.shared.deployment().leaderships_of(&self.shared.process);
-            for (service, revision) in held {
-                self.give_up(&service, revision).await;
+            for (service, revision) in self.held_rollouts() {
+                self.shared.give_up_leadership(&service, revision).await;
             }
             self.shared.timers.at(self.shared.clock.now() + ASSESS_INTERVAL).await;
         }
@@ -132,44 +121,17 @@
     /// Gives up the leaderships of services that the local upstream does not run, or no longer runs.
     async fn give_up_others(&self) {
         let served = self.shared.owner.announcement().map(|announcement| announcement.service);
-        let held = self.shared.deployment().leaderships_of(&self.shared.process);
-        for (service, revision) in held {
+        for (service, revision) in self.held_rollouts() {
             if Some(&service) != served.as_ref() {
-                self.give_up(&service, revision).await;
-            }
-        }
-    }
-
-    /// Gives up a leadership, whose key has `revision`.
-    async fn give_up(&self, service: &ServiceName, revision: u64) {
-        let key = format!("{LEADER_PREFIX}{service}");
-        let transaction = Transaction {
-            conditions: vec![(key.clone(), revision)],
-            writes: Vec::new(),
-            removals: vec![key],
-        };
-        let answer = self.shared.store.call(&Call::Write(transaction)).await;
-        log::info!(service = service.as_str(), answer:? = answer;
-            "leadership of the rollout given up");
-        match answer {
-            Ok(Answer::Written { revision }) => {
-                self.shared.deployment().on_leadership_removed(service, revision);
+                self.shared.give_up_leadership(&service, revision).await;
             }
-            // The key has been written or removed since.
-            Ok(Answer::Conflict(items)) => self.on_conflict(service, revision, &items),
-            _ => {}
         }
     }
 
-    /// Takes over what the store holds in place of the leadership at `revision`, on which a write
-    /// was conditional.
-    fn on_conflict(&self, service: &ServiceName, revision: u64, items: &[Item]) {
-        let key = format!("{LEADER_PREFIX}{service}");
-        let mut deployment = self.shared.deployment();
-        match items.iter().find(|item| item.key == key) {
-            Some(item) => drop(deployment.on_leadership(service, read_leadership(item))),
-            None => drop(deployment.on_leadership_removed(service, revision + 1)),
-        }
+    fn held_rollouts(&self) -> Vec<(ServiceName, u64)> {
+        let mut held = self.shared.deployment().leaderships_of(&self.shared.process);
+        held.retain(|(service, _)| !is_duty(service));
+        held
     }
 
     /// Returns the order for the local service, unless its rollout has ended.
@@ -190,41 +152,11 @@
         match self.candidate.step(known.as_ref(), lesser_names, self.shared.clock.now()) {
             LeaderStep::Lead => true,
             LeaderStep::Wait => false,
-            LeaderStep::TakeOver => self.take_over(service).await,
-        }
-    }
-
-    /// Tries to become leader; returns whether this node leads. If the answer is lost, the watch or
-    /// the next attempt tells whether the write took effect.
-    async fn take_over(&self, service: &ServiceName) -> bool {
-        let Some(lease) = self.shared.lease() else { return false };
-        let value = match serde_json::to_vec(&self.shared.process) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!(error:% = error; "name of the leader could not be encoded as JSON");
-                return false;
-            }
-        };
-        let key = format!("{LEADER_PREFIX}{service}");
-        let transaction = Transaction {
-            conditions: vec![(key.clone(), 0)],
-            writes: vec![(key, value, lease)],
-            removals: Vec::new(),
-        };
-        match self.shared.store.call(&Call::Write(transaction)).await {
-            Ok(Answer::Written { revision }) => {
-                log::info!(service = service.as_str(), revision = revision;
-                    "this node leads the rollout");
-                let leadership = Leadership { revision, leader: self.shared.process.clone() };
-                self.shared.deployment().on_leadership(service, leadership);
-            }
-            Ok(Answer::Conflict(items)) => self.on_conflict(service, 0, &items),
-            answer => {
-                log::info!(service = service.as_str(), answer:? = answer;
-                    "whether this node leads the rollout is not known yet");
+            LeaderStep::TakeOver => {
+                self.shared.take_leadership(service, &Transaction::default()).await;
+                self.shared.leadership_revision(service).is_some()
             }
         }
-        self.shared.leadership_revision(service).is_some()
     }
 
     /// Returns the number of nodes of the service with a lesser name than this one.
@@ -380,7 +312,7 @@
             Ok(Answer::Conflict(items)) => {
                 log::warn!(service = service.as_str(), revision = revision;
                     "rollout plan not written: the plan or the leader has been written meanwhile");
-                self.on_conflict(service, fence, &items);
+                self.shared.on_leadership_conflict(service, fence, &items);
                 let stored = items.iter().find(|item| item.key == plan_key);
                 if let Some(item) = stored
                     && let Ok(plan) = serde_json::from_slice(&item.value)
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -27,9 +27,10 @@
     },
     daemon::Shared,
     deployment_state::ReceivedOrder,
+    leadership::{LEADER_PREFIX, read_leadership},
     registration::RECORD_PREFIX,
-    rollout_leader::read_leadership,
     store::StoreError,
+    usage_view::{USAGE_KEY, read_usage_state},
 };
 
 /// Prefix of all keys, so that a single watch covers everything.
@@ -38,9 +39,6 @@
 /// Prefix of the keys of rollout plans; the service follows.
 pub const PLAN_PREFIX: &str = "mesh/rollout/";
 
-/// Prefix of the keys of rollout leaders; the service follows.
-pub const LEADER_PREFIX: &str = "mesh/lead/";
-
 /// Maximum wait of one watch. Dead connections are usually detected by TCP keep-alive; this bounds
 /// the time for those that are not.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(6);
@@ -364,6 +362,9 @@
         deployment.orders.retain(|service, _| is_listed(ROLLOUT_PREFIX, service.as_str()));
         deployment.plans.retain(|service, _| is_listed(PLAN_PREFIX, service.as_str()));
         deployment.leaderships.retain(|service, _| is_listed(LEADER_PREFIX, service.as_str()));
+        if !keys.contains(&USAGE_KEY) {
+            deployment.usage.on_removed(u64::MAX);
+        }
     }
 
     fn apply_put(&mut self, item: Item) {
@@ -384,6 +385,10 @@
             self.apply_plan(service, &item);
         } else if let Some(service) = key.strip_prefix(LEADER_PREFIX) {
             self.apply_leadership(service, &item);
+        } else if key == USAGE_KEY {
+            if let Some(state) = read_usage_state(&item) {
+                self.shared.deployment().usage.on_state(item.revision, state);
+            }
         } else if !key.starts_with(STATUS_PREFIX) {
             log::debug!(key = key; "unknown key ignored");
         }
@@ -394,7 +399,7 @@
         let (leader, own) = (&leadership.leader, leadership.leader == self.shared.process);
         log::info!(service = service, leader = leader.node.as_str(),
             incarnation = leader.incarnation, own = own, revision = item.revision;
-            "rollout has a leader");
+            "leader known");
         self.shared.deployment().on_leadership(&ServiceName::new(service), leadership);
     }
 
@@ -413,11 +418,13 @@
             self.shared.deployment().orders.remove(service);
         } else if let Some(service) = key.strip_prefix(PLAN_PREFIX) {
             self.shared.deployment().plans.remove(service);
+        } else if key == USAGE_KEY {
+            self.shared.deployment().usage.on_removed(revision);
         } else if let Some(service) = key.strip_prefix(LEADER_PREFIX) {
             let service = ServiceName::new(service);
             if self.shared.deployment().on_leadership_removed(&service, revision) {
                 log::info!(service = service.as_str(), revision = revision;
-                    "rollout has lost its leader");
+                    "leader gone");
             }
         }
     }
--- a/src/settings/mesh.rs
+++ b/src/settings/mesh.rs
@@ -3,6 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use log::LevelFilter;
+use oleandertiller_mesh::usage::Windows;
 use oleandertiller_model::{NodeName, ServiceName, ZoneName};
 
 use super::{
@@ -67,6 +68,18 @@
         "probes-per-s", probes_per_second: f64, Some("60"), Allowed::Decimal { max: 100_000 },
             "Most health checks a second of one upstream.";
     }
+    /// Reports of the tenants' usage. They are off unless the first three keys have a value.
+    "usage" => MeshUsageSettings {
+        "address", address: Option<SocketAddr>, Some(""), Allowed::ReachableAddress,
+            "Address to which usage is reported.";
+        "window-s", window_seconds: Option<f64>, Some(""), Allowed::Decimal { max: 86_400 },
+            "Length of the windows of time for which usage is reported, in seconds.";
+        "late-s", late_seconds: Option<f64>, Some(""), Allowed::Decimal { max: 86_400 },
+            "Time after the end of a window at which its report is due, in seconds.";
+        "holder-ms", holder_ms: Option<f64>, Some("3000"), Allowed::Decimal { max: 600_000 },
+            "Shortest time for which a node keeps the duty of reporting, in milliseconds, so that \
+             it does not return to an earlier holder within that time.";
+    }
     /// Log lines.
     "log" => MeshLogSettings {
         "level", level: LevelFilter, Some("info"), Allowed::OneOf(LOG_LEVELS),
@@ -74,6 +87,31 @@
     }
 }
 
+/// How usage is reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageReporting {
+    /// Address of the receiver.
+    pub address: SocketAddr,
+    /// Windows of the reports.
+    pub windows: Windows,
+    /// Shortest time for which a node has the duty.
+    pub tenure: Duration,
+}
+
+/// Shortest time for which a node has the duty of reporting if the settings state none.
+const DEFAULT_TENURE_MS: f64 = 3_000.0;
+
+impl MeshUsageSettings {
+    /// Returns how usage is reported, or `None` if it is not.
+    pub fn reporting(&self) -> Option<UsageReporting> {
+        let length = Duration::from_secs_f64(self.window_seconds?);
+        let windows = Windows::new(length, Duration::from_secs_f64(self.late_seconds?))?;
+        let tenure = self.holder_ms.unwrap_or(DEFAULT_TENURE_MS);
+        let tenure = Duration::from_secs_f64(tenure / 1_000.0);
+        Some(UsageReporting { address: self.address?, windows, tenure })
+    }
+}
+
 /// All settings of a mesh node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MeshSettings {
@@ -85,6 +123,8 @@
     pub store: MeshStoreSettings,
     /// Section `[terms]`.
     pub terms: MeshTermsSettings,
+    /// Section `[usage]`.
+    pub usage: MeshUsageSettings,
     /// Section `[log]`.
     pub log: MeshLogSettings,
 }
@@ -112,13 +152,14 @@
         let listen = MeshListenSettings::read(&mut reader);
         let store = MeshStoreSettings::read(&mut reader);
         let terms = MeshTermsSettings::read(&mut reader);
+        let usage = MeshUsageSettings::read(&mut reader);
         let log = MeshLogSettings::read(&mut reader);
         let errors = reader.finish();
-        match (node, listen, store, terms, log) {
-            (Some(node), Some(listen), Some(store), Some(terms), Some(log))
+        match (node, listen, store, terms, usage, log) {
+            (Some(node), Some(listen), Some(store), Some(terms), Some(usage), Some(log))
                 if errors.is_empty() =>
             {
-                Ok(Self { node, listen, store, terms, log })
+                Ok(Self { node, listen, store, terms, usage, log })
             }
             _ => Err(errors),
         }
