--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -17,3 +17,4 @@
 mod stop;
 mod tenants;
 mod upstream;
+mod usage;
--- /dev/null
+++ b/crates/mesh/tests/mesh/usage.rs
@@ -0,0 +1,231 @@
+//! Counts of the requests that began to run, the duty of reporting them, and clocks.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use oleandertiller_mesh::{
+    leadership::ProcessId,
+    usage::{ClockOffsets, Collector, Counts, OwnerId, StartCounts, Tenure, UsageState, Windows},
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const WINDOW: Duration = Duration::from_secs(5);
+const LATENESS: Duration = Duration::from_secs(10);
+
+/// A time at which a window begins.
+const START: Duration = Duration::from_secs(1_767_225_600);
+
+fn windows() -> Windows {
+    Windows::new(WINDOW, LATENESS).unwrap()
+}
+
+fn process(node: &str) -> ProcessId {
+    ProcessId { node: node.into(), incarnation: 1, nonce: 1 }
+}
+
+fn taken(known: &[&UsageState], node: &str, era: u64) -> UsageState {
+    UsageState::taken(known.iter().copied(), process(node), era, None, 0, 100)
+}
+
+fn counts(n: u64) -> Counts {
+    Counts::from([("a".into(), n)])
+}
+
+/// An owner whose process ends and starts, and whose clock is off.
+struct Owner {
+    id: OwnerId,
+    starts: StartCounts,
+    clock_ahead: Duration,
+}
+
+/// Plays 20 owners of three tenants with uneven load for eight windows; returns the reported and the
+/// true counts by window. Some owners end and lose their counts, some answer late or never.
+fn play(seed: u64) -> Vec<(Counts, Counts)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let windows = windows();
+    let tenants: [Arc<str>; 3] = ["large".into(), "small".into(), "tiny".into()];
+    let mut owners: Vec<Owner> = (0..20)
+        .map(|n| Owner {
+            id: (format!("n{n}").as_str().into(), 0),
+            starts: StartCounts::new(windows),
+            clock_ahead: if n % 3 == 0 { Duration::from_secs(n) } else { Duration::ZERO },
+        })
+        .collect();
+    let mut truth: BTreeMap<u64, Counts> = BTreeMap::new();
+    let mut collector = Collector::new(windows);
+    let mut clocks = ClockOffsets::default();
+    let mut corrections = vec![None; owners.len()];
+    let (first, mut next) = (windows.at(START), windows.at(START));
+    let mut reports = Vec::new();
+    for step in 0..600_u64 {
+        let now = START + Duration::from_millis(step * 100);
+        for (index, owner) in owners.iter_mut().enumerate() {
+            // The load of a tenant rises and falls within a window.
+            for (tenant, most) in tenants.iter().zip([6, 3, 1]) {
+                let starts = if step % 60 < 25 { rng.random_range(0..=most) } else { most / 3 };
+                for _ in 0..starts {
+                    let correction = corrections[index].unwrap_or_default();
+                    let at = owner.starts.begin(tenant, clock(owner, correction, now));
+                    if rng.random_bool(0.25) {
+                        owner.starts.take_back(tenant, at);
+                    } else {
+                        let counts = truth.entry(windows.at(now)).or_default();
+                        *counts.entry(tenant.clone()).or_default() += 1;
+                    }
+                }
+            }
+        }
+        if step % 10 == 5 {
+            let own = clocks.own_correction();
+            for (index, owner) in owners.iter().enumerate() {
+                let is_silent = index == 4 && (200..260).contains(&step);
+                if is_silent || rng.random_bool(0.02) {
+                    continue;
+                }
+                clocks.on_exchange(&owner.id.0, now, now, now + owner.clock_ahead);
+                corrections[index] = clocks.correction(&owner.id.0);
+                collector.on_counts(&owner.id, own.apply(now), owner.starts.since(next));
+            }
+        }
+        if step % 10 == 6 && rng.random_bool(0.2) {
+            let owner = &mut owners[rng.random_range(0..20)];
+            owner.id.1 += 1;
+            owner.starts = StartCounts::new(windows);
+        }
+        let present: Vec<OwnerId> = owners.iter().map(|owner| owner.id.clone()).collect();
+        while let Some(counts) = collector.final_counts(next, &present, now) {
+            assert!(now + Duration::from_secs(4) < windows.due(next), "window {next} is late");
+            reports.push((counts, truth.get(&next).cloned().unwrap_or_default()));
+            next += 1;
+            collector.forget_before(next);
+        }
+    }
+    assert!(next >= first + 10);
+    // The clocks are known from the first collection on.
+    reports.split_off(1)
+}
+
+fn clock(
+    owner: &Owner,
+    correction: oleandertiller_mesh::usage::ClockOffset,
+    now: Duration,
+) -> Duration {
+    correction.apply(now + owner.clock_ahead)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Guards against reports that are late or differ from the truth by more than the tolerance,
+    /// with owners that end, answer late, refuse a quarter of the requests or have wrong clocks.
+    #[test]
+    fn reports_are_in_time_and_close_to_the_truth(seed in any::<u64>()) {
+        for (reported, truth) in play(seed) {
+            let (reported, truth): (u64, u64) = (reported.values().sum(), truth.values().sum());
+            let error = (reported as f64 - truth as f64).abs() / truth as f64;
+            prop_assert!(error < 0.05, "reported {reported} of {truth}");
+        }
+    }
+
+    /// Guards against two holders with one token, in any order of holders and of restores of the
+    /// store from copies, also if the new holder has seen nothing since the copy.
+    #[test]
+    fn holders_have_rising_tokens(
+        steps in proptest::collection::vec((0..4_usize, any::<bool>(), any::<bool>()), 1..30),
+    ) {
+        let (mut era, mut tokens): (u64, Vec<u64>) = (0, Vec::new());
+        let mut history = vec![taken(&[], "n0", 0)];
+        for (node, restored, has_seen) in steps {
+            let copy = history[history.len() / 2].clone();
+            let latest = history.last().unwrap().clone();
+            let stored = if restored { copy } else { latest.clone() };
+            era += u64::from(restored);
+            let name = format!("n{node}");
+            let known: &[&UsageState] =
+                if has_seen { &[&stored, &latest] } else { &[&stored] };
+            let state = taken(known, &name, era);
+            prop_assert!(state.is_held_by(&process(&name), era));
+            prop_assert!(tokens.last().is_none_or(|last| *last < state.token));
+            tokens.push(state.token);
+            history.push(state);
+        }
+    }
+}
+
+/// Guards against a successor that reports other counts than the holder that died, or none.
+#[test]
+fn successor_repeats_the_reports_of_a_lost_reporter() {
+    let first = taken(&[], "a", 0);
+    assert_eq!(first.next, 99);
+    let written = first.with_reports(vec![counts(3), counts(5)], &BTreeSet::new());
+    let next = written.with_reports(vec![counts(7)], &BTreeSet::from([99]));
+    // The first holder dies here; which of its calls were executed is not known.
+    let successor = taken(&[&next], "b", 0);
+    assert!(successor.token > next.token);
+    assert_eq!((successor.next, &successor.reports), (102, &next.reports));
+    assert_eq!(successor.pending(&BTreeSet::new()), Some((100, &counts(5))));
+    assert_eq!(successor.pending(&BTreeSet::from([100, 101])), None);
+}
+
+/// Guards against two different reports of a window after the store returned from a copy.
+#[test]
+fn restored_state_does_not_reopen_reported_windows() {
+    let copy = taken(&[], "a", 1).with_reports(vec![counts(1)], &BTreeSet::new());
+    let seen = copy.with_reports(vec![counts(2)], &BTreeSet::new());
+    // A holder whose duty is in the copy takes a new token before it goes on.
+    assert!(copy.is_held_by(&process("a"), 1) && !copy.is_held_by(&process("a"), 2));
+    let state = taken(&[&copy, &seen], "a", 2);
+    assert_eq!((state.next, &state.reports), (seen.next, &seen.reports));
+    assert!(state.token > seen.token);
+}
+
+/// Guards against a token that stays too low for ever after the platform has rejected it.
+#[test]
+fn rejected_token_is_left_behind() {
+    let last = taken(&[], "a", 0);
+    let state = UsageState::taken([&last], process("a"), 0, Some(last.token), 0, 100);
+    assert!(state.token > last.token + 1);
+}
+
+/// Guards against a duty that returns to an earlier holder within the time of a lease.
+#[test]
+fn duty_stays_with_a_holder_for_a_lease() {
+    let mut tenure = Tenure::new(Duration::from_secs(3));
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    assert!(tenure.may_end(None, now));
+    let held = taken(&[], "b", 0);
+    assert!(!tenure.may_end(Some(&held), now));
+    assert!(!tenure.may_end(Some(&held), at(2_999)));
+    assert!(tenure.may_end(Some(&held), at(3_000)));
+    let next = taken(&[&held], "c", 0);
+    assert!(!tenure.may_end(Some(&next), at(3_001)));
+}
+
+/// Guards against clocks that are corrected by the wrong ones, and by answers that took too long.
+#[test]
+fn clocks_follow_the_majority() {
+    let mut clocks = ClockOffsets::default();
+    let second = Duration::from_secs(1);
+    let exchange = |clocks: &mut ClockOffsets, node: &str, took, told| {
+        clocks.on_exchange(&node.into(), START, START + took, told);
+    };
+    // The own clock is 2 s behind the majority.
+    exchange(&mut clocks, "a", Duration::ZERO, START + 2 * second);
+    assert_eq!(clocks.own_correction().0, 0, "no majority of two");
+    exchange(&mut clocks, "b", Duration::from_millis(20), START + 2 * second);
+    exchange(&mut clocks, "c", Duration::ZERO, START + 2 * second);
+    exchange(&mut clocks, "d", Duration::ZERO, START + 60 * second);
+    exchange(&mut clocks, "e", second, START + 90 * second);
+    let own = clocks.own_correction();
+    assert!((1_980_000..=2_000_000).contains(&own.0), "{own:?}");
+    let wrong = clocks.correction(&"d".into()).unwrap();
+    assert_eq!(wrong.apply(START + 60 * second), own.apply(START));
+    assert_eq!(clocks.correction(&"e".into()), None);
+    clocks.retain(|node| node.as_str() == "a");
+    assert_eq!(clocks.own_correction().0, 0);
+}
