--- a/crates/mesh/src/usage/collector.rs
+++ b/crates/mesh/src/usage/collector.rs
@@ -41,6 +41,21 @@
         }
     }
 
+    /// Takes over counts of an owner that another node keeps for it; they fill in for an owner that
+    /// has not answered itself. Of several copies the latest counts most.
+    pub fn on_backup(&mut self, owner: &OwnerId, counts: BTreeMap<u64, Counts>) {
+        if self.answered.contains_key(owner) {
+            return;
+        }
+        let total = |counts: &Counts| counts.values().sum::<u64>();
+        for (window, counts) in counts {
+            let known = self.counts.entry(window).or_default().entry(owner.clone()).or_default();
+            if total(known) < total(&counts) {
+                *known = counts;
+            }
+        }
+    }
+
     /// Returns the final counts of a window, or `None` while an owner of `present` may still have
     /// more and there is time to wait for it.
     pub fn final_counts(&self, window: u64, present: &[OwnerId], now: Duration) -> Option<Counts> {
--- a/crates/mesh/tests/mesh/usage.rs
+++ b/crates/mesh/tests/mesh/usage.rs
@@ -91,7 +91,7 @@
                 collector.on_counts(&owner.id, own.apply(now), owner.starts.since(next));
             }
         }
-        if step % 10 == 6 && rng.random_bool(0.2) {
+        if step % 10 == 4 && rng.random_bool(0.2) {
             let owner = &mut owners[rng.random_range(0..20)];
             owner.id.1 += 1;
             owner.starts = StartCounts::new(windows);
@@ -191,6 +191,25 @@
     assert!(state.token > last.token + 1);
 }
 
+/// Guards against the loss of what a lost reporter has counted as an owner, and against copies that
+/// replace what the owner itself says.
+#[test]
+fn copies_fill_in_for_a_lost_owner() {
+    let mut collector = Collector::new(windows());
+    let (lost, present) = (("lost".into(), 1), ("present".into(), 1));
+    let window = windows().at(START);
+    collector.on_counts(&present, START, BTreeMap::from([(window, counts(5))]));
+    for copied in [3, 4, 2] {
+        collector.on_backup(&lost, BTreeMap::from([(window, counts(copied))]));
+        collector.on_backup(&present, BTreeMap::from([(window, counts(9))]));
+    }
+    let end = windows().end(window);
+    let settled = end + Duration::from_secs(1);
+    assert_eq!(collector.final_counts(window, std::slice::from_ref(&present), end), None);
+    collector.on_counts(&present, settled, BTreeMap::from([(window, counts(6))]));
+    assert_eq!(collector.final_counts(window, &[present], settled), Some(counts(10)));
+}
+
 /// Guards against a duty that returns to an earlier holder within the time of a lease.
 #[test]
 fn duty_stays_with_a_holder_for_a_lease() {
--- a/crates/model/src/clock.rs
+++ b/crates/model/src/clock.rs
@@ -13,7 +13,8 @@
     /// Returns the monotonic time.
     fn now(&self) -> Instant;
 
-    /// Returns the wall-clock time, used only for idempotency keys and operator output.
+    /// Returns the wall-clock time, used only for idempotency keys, operator output and the
+    /// windows of usage reports.
     fn wall(&self) -> SystemTime;
 }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,6 +5,8 @@
 
 mod kv_store;
 mod mesh_upstream;
+mod usage_endpoint;
 
 pub use kv_store::{Copy, KvStore, LostWrite, Outage};
 pub use mesh_upstream::{MeshUpstream, MeshUpstreamBehaviour, Run};
+pub use usage_endpoint::{UsageCall, UsageEndpoint, UsageFault};
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -82,6 +82,10 @@
     pub caller: Option<String>,
     /// Time until the caller stops waiting, if given.
     pub deadline_ms: Option<u64>,
+    /// Name of the tenant.
+    pub tenant: Option<String>,
+    /// Value of the `Authorization` header.
+    pub authorization: Option<String>,
     /// When the run started.
     pub started: Instant,
     /// Whether the work was completed.
@@ -273,6 +277,8 @@
             body: call.body.clone(),
             caller: call.header("Oleandertiller-Caller-Service").map(str::to_owned),
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
+            tenant: call.header("Oleandertiller-Tenant").map(str::to_owned),
+            authorization: call.header("Authorization").map(str::to_owned),
             started: Instant::now(),
             finished: false,
             bad_at: None,
--- a/src/mesh/usage_counter.rs
+++ b/src/mesh/usage_counter.rs
@@ -9,7 +9,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use oleandertiller_mesh::usage::{ClockOffset, Counts, StartCounts, Windows};
+use oleandertiller_mesh::usage::{ClockOffset, Counts, OwnerId, StartCounts, Windows};
 use serde::{Deserialize, Serialize};
 
 use super::message::Offer;
@@ -17,8 +17,19 @@
 /// Path of the `h2` requests with which the reporter gets the counts of an owner.
 pub const USAGE_COUNTS_PATH: &str = "/mesh/usage";
 
+/// Counts of an owner that others keep for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct BackupCounts {
+    /// The owner.
+    pub owner: OwnerId,
+    /// Requests by window and tenant.
+    pub counts: BTreeMap<u64, Counts>,
+}
+
 /// Request for the counts of an owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct CountsRequest {
@@ -26,6 +37,8 @@
     pub from: u64,
     /// Correction of the owner's clock, if the reporter knows it.
     pub correction: Option<ClockOffset>,
+    /// The reporter's own counts, which the owner keeps for the reporter's successor.
+    pub backup: Option<BackupCounts>,
 }
 
 /// Counts of an owner.
@@ -39,6 +52,8 @@
     pub clock: Duration,
     /// Requests by window and tenant.
     pub counts: BTreeMap<u64, Counts>,
+    /// Counts that it keeps for earlier reporters.
+    pub backups: Vec<BackupCounts>,
 }
 
 /// Returns a time of the wall clock since 1970.
@@ -49,6 +64,8 @@
 /// Counts the requests of tenants that begin to run; without windows it counts nothing.
 pub struct UsageCounter {
     counts: Option<Mutex<StartCounts>>,
+    /// Counts of reporters, of windows that are not final.
+    backups: Mutex<Vec<BackupCounts>>,
     /// Correction of the node's clock, in microseconds.
     correction: AtomicI64,
 }
@@ -57,7 +74,7 @@
     /// Creates a counter.
     pub fn new(windows: Option<Windows>) -> Self {
         let counts = windows.map(|windows| Mutex::new(StartCounts::new(windows)));
-        Self { counts, correction: AtomicI64::new(0) }
+        Self { counts, backups: Mutex::default(), correction: AtomicI64::new(0) }
     }
 
     /// Counts a request that is sent to the upstream now; returns its window for
@@ -90,8 +107,22 @@
         if let Some(ClockOffset(micros)) = request.correction {
             self.correction.store(micros, Ordering::Relaxed);
         }
-        let counts = self.with_counts(|counts| counts.since(request.from)).unwrap_or_default();
-        CountsReply { incarnation, clock: unix_time(wall), counts }
+        let counts = self.since(request.from);
+        let mut backups = self.backups.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(backup) = request.backup {
+            backups.retain(|known| known.owner != backup.owner);
+            backups.push(backup);
+        }
+        for backup in &mut *backups {
+            backup.counts = backup.counts.split_off(&request.from);
+        }
+        backups.retain(|backup| !backup.counts.is_empty());
+        CountsReply { incarnation, clock: unix_time(wall), counts, backups: backups.clone() }
+    }
+
+    /// Returns the counts from a window on.
+    pub fn since(&self, window: u64) -> BTreeMap<u64, Counts> {
+        self.with_counts(|counts| counts.since(window)).unwrap_or_default()
     }
 
     fn with_counts<T>(&self, f: impl FnOnce(&mut StartCounts) -> T) -> Option<T> {
--- a/src/mesh/usage_reporter.rs
+++ b/src/mesh/usage_reporter.rs
@@ -21,7 +21,7 @@
 use super::{
     daemon::Shared,
     leadership::LEADER_PREFIX,
-    usage_counter::{CountsReply, CountsRequest, USAGE_COUNTS_PATH, unix_time},
+    usage_counter::{BackupCounts, CountsReply, CountsRequest, USAGE_COUNTS_PATH, unix_time},
     usage_view::{USAGE_KEY, read_usage_state, usage_duty},
 };
 
@@ -31,6 +31,9 @@
 /// Interval at which counts are collected; those of an owner that ends are lost since the last time.
 const COLLECT_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Number of owners that keep a copy of the reporter's own counts, which end with its process.
+const BACKUPS: usize = 3;
+
 /// Timeout of requesting the counts of an owner.
 const COUNTS_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -45,6 +48,9 @@
     tenure: Tenure,
     collector: Collector,
     clocks: ClockOffsets,
+    /// True time at the last collection. It is continued by the monotonic clock, so that a wall clock
+    /// that is set ends no window early.
+    known_time: Option<(Instant, Duration)>,
     next_collection: Instant,
     next_take: Instant,
 }
@@ -60,6 +66,7 @@
             tenure: Tenure::new(tenure),
             collector: Collector::new(windows),
             clocks: ClockOffsets::default(),
+            known_time: None,
             next_collection: now,
             next_take: now,
         }
@@ -179,15 +186,26 @@
         let owners = self.owners();
         let until = now + COUNTS_TIMEOUT;
         let clocks = &self.clocks;
+        let own_name = &shared.settings.node.name;
+        let own_counts = BackupCounts {
+            owner: (own_name.clone(), shared.process.incarnation),
+            counts: shared.owner.usage.since(from),
+        };
+        let others = owners.iter().filter(|record| record.node != *own_name);
+        let keepers: Vec<_> = others.take(BACKUPS).map(|record| &record.node).collect();
+        let (own_counts, keepers) = (&own_counts, &keepers);
         let requests = owners.iter().map(|record| async move {
             let began = unix_time(shared.clock.wall());
-            if record.node == shared.settings.node.name {
-                let request = CountsRequest { from, correction: Some(clocks.own_correction()) };
+            if record.node == *own_name {
+                let correction = Some(clocks.own_correction());
+                let request = CountsRequest { from, correction, backup: None };
                 let incarnation = shared.process.incarnation;
                 let reply = shared.owner.usage.answer(request, incarnation, shared.clock.wall());
                 return Some((record, began, began, reply));
             }
-            let request = CountsRequest { from, correction: clocks.correction(&record.node) };
+            let backup = keepers.contains(&&record.node).then(|| own_counts.clone());
+            let correction = clocks.correction(&record.node);
+            let request = CountsRequest { from, correction, backup };
             let request = codec::encode(&request);
             let request = shared.client.request(record.inner, USAGE_COUNTS_PATH, request, until);
             let bytes = request.await.ok()?;
@@ -200,19 +218,24 @@
             log::info!(missing = missing, owners = owners.len();
                 "counts of some owners are missing");
         }
-        let own_name = &shared.settings.node.name;
-        let correction = clocks.own_correction();
         let replies: Vec<_> = replies.into_iter().flatten().collect();
-        for (record, began, ended, reply) in replies {
+        for (record, began, ended, reply) in &replies {
             if record.node != *own_name {
-                self.clocks.on_exchange(&record.node, began, ended, reply.clock);
+                self.clocks.on_exchange(&record.node, *began, *ended, reply.clock);
             }
-            let owner = (record.node.clone(), reply.incarnation);
-            self.collector.on_counts(&owner, correction.apply(began), reply.counts);
         }
         self.clocks.retain(|node| owners.iter().any(|record| record.node == *node));
         let correction = self.clocks.own_correction();
-        self.shared.metrics.usage.set_clock_correction(correction);
+        let time = correction.apply(unix_time(shared.clock.wall()));
+        self.known_time = Some((shared.clock.now(), time));
+        shared.metrics.usage.set_clock_correction(correction);
+        for (record, began, _, reply) in replies {
+            let owner = (record.node.clone(), reply.incarnation);
+            self.collector.on_counts(&owner, correction.apply(began), reply.counts);
+            for BackupCounts { owner, counts } in reply.backups {
+                self.collector.on_backup(&owner, counts);
+            }
+        }
     }
 
     /// Returns the nodes with an upstream that can be reached.
@@ -228,7 +251,10 @@
 
     /// Returns the time since 1970 by the clocks of all nodes together.
     fn true_time(&self) -> Duration {
-        self.clocks.own_correction().apply(unix_time(self.shared.clock.wall()))
+        match self.known_time {
+            Some((at, time)) => time + self.shared.clock.now().saturating_duration_since(at),
+            None => unix_time(self.shared.clock.wall()),
+        }
     }
 
     /// Writes the counts of the windows that are final.
--- a/tests/cli/mesh_settings.rs
+++ b/tests/cli/mesh_settings.rs
@@ -40,9 +40,11 @@
     let optional: Vec<&str> =
         placeholders().into_iter().filter(|name| !mandatory.contains_key(name)).collect();
     let mut all = mandatory.clone();
-    all.extend(
-        optional.iter().map(|name| (*name, if *name == "limits.memoryMb" { "160" } else { "1" })),
-    );
+    all.extend(optional.iter().map(|name| match *name {
+        "limits.memoryMb" => (*name, "160"),
+        "cloud.address" => (*name, "127.0.0.1:7"),
+        name => (name, "1"),
+    }));
     for left_out in &optional {
         let mut values = all.clone();
         values.remove(left_out);
@@ -50,6 +52,9 @@
         let settings = settings.unwrap_or_else(|errors| panic!("{left_out}: {errors:?}"));
         let rollouts = settings.terms.exposure_share.zip(settings.terms.exposure_extra);
         assert_eq!(rollouts.is_none(), left_out.contains("exposure"), "{left_out}");
+        let is_needed =
+            ["cloud.address", "bounds.reportWindowS", "bounds.usageLateS"].contains(left_out);
+        assert_eq!(settings.usage.reporting().is_none(), is_needed, "{left_out}");
     }
     assert!(MeshSettings::parse(&render(&mandatory)).is_ok());
 }
--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -93,6 +93,12 @@
         self.child = Some(child);
     }
 
+    /// Adds text to the settings with which the process starts next.
+    pub fn append_settings(&self, text: &str) {
+        let settings = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, settings + text).unwrap();
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
