--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`crash_suspects`]: which requests crash the upstreams that run them.
 //! - [`exposure`]: how many requests a version gets while it is rolled out.
 //! - [`latency_estimate`]: how long answers take, and when a request is hedged.
-//! - [`leadership`]: which process leads the rollouts of a service.
+//! - [`leadership`]: which process leads the rollouts of a service, or has a duty for all services.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
 //! - [`peer_health`]: what an ingress knows of one owner.
@@ -22,9 +22,11 @@
 //! - [`rollout`]: which versions may serve, and whether a new version is good.
 //! - [`sender_share`]: how an owner's capacity is shared between the sending nodes.
 //! - [`stop`]: the times of a planned stop.
+//! - [`tenants`]: which requests may run, for whom, and with which priority.
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
 //! - [`upstream_capacity`]: what an owner learns of its upstream's capacity.
+//! - [`usage`]: how many requests of each tenant began to run, and who reports that.
 
 pub mod admission_queue;
 pub mod capacity_view;
@@ -46,6 +48,8 @@
 pub mod rollout;
 pub mod sender_share;
 pub mod stop;
+pub mod tenants;
 pub mod token_bucket;
 pub mod upstream;
 pub mod upstream_capacity;
+pub mod usage;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -17,6 +17,8 @@
 mod retry_budget;
 mod rollout;
 mod stop;
+mod tenants;
 mod uneven;
 mod upstream;
 mod upstream_capacity;
+mod usage;
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -23,6 +23,8 @@
 use oleandertiller_model::{NodeName, ServiceName, VersionName, ZoneName};
 use oleandertiller_platform::rollout::RolloutOrder;
 
+use super::usage_view::UsageView;
+
 /// Time after which an owner that was not asked again counts as unlimited: it may have recovered.
 const LIMIT_MEMORY: Duration = Duration::from_secs(10);
 
@@ -66,6 +68,8 @@
     pub capacity: CapacityView,
     /// Services that the requests of each route call while they run here.
     pub nested_calls: NestedCalls,
+    /// Usage reports as the store holds them.
+    pub usage: UsageView,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
     limited_owners: HashMap<NodeName, Instant>,
     /// Upstreams that said in a response to this node that they are leaving, by owner. The owner
@@ -92,6 +96,7 @@
             peers: HashMap::new(),
             capacity: CapacityView::default(),
             nested_calls: NestedCalls::default(),
+            usage: UsageView::default(),
             limited_owners: HashMap::new(),
             leaving_upstreams: HashMap::new(),
             latencies: HashMap::new(),
@@ -106,6 +111,7 @@
     /// the rollouts for [`Self::resume_rollouts`].
     pub fn forget_era(&mut self) -> KnownRollouts {
         self.leaderships.clear();
+        self.usage.on_removed(u64::MAX);
         KnownRollouts {
             orders: std::mem::take(&mut self.orders),
             plans: std::mem::take(&mut self.plans),
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -1,5 +1,6 @@
 //! The ingress: serves requests of external clients and of the local upstream.
 
+mod access;
 mod admission;
 mod attempts;
 mod dispatch;
@@ -174,8 +175,10 @@
         }
         let close = head.close;
         let caller = self.shared.caller();
-        let request =
-            ClientRequest::read(head, body, arrived, self.shared.config().as_deref(), &caller);
+        let id = head.headers.get(header::REQUEST_ID);
+        let is_nested = id.is_some_and(|id| self.shared.owner.is_nested_call(id));
+        let cfg = self.shared.config();
+        let request = ClientRequest::read(head, body, arrived, cfg.as_deref(), &caller, is_nested);
         let (id, outcome) = match request {
             Err(refusal) => (refusal.id.clone(), self.on_refusal(&refusal, arrived)),
             Ok(request) if !self.ends_before_exit(&request) => {
@@ -290,6 +293,9 @@
                 }
                 headers.set("Content-Type", "text/plain");
                 let (status, text) = (failure.status(), failure.kind.answer().text);
+                if status == 401 {
+                    headers.set("WWW-Authenticate", "Bearer");
+                }
                 if status == 503 {
                     let remaining =
                         time_left(outcome.deadline.unwrap_or(arrived), self.shared.clock.now());
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -312,6 +312,10 @@
                 attempts.lock().expected_wait = Some(states[best].1.expected_wait);
                 return (this_node, End::NotRun { why: ErrorKind::Overloaded, arrived: false });
             }
+            if self.is_revoked(request) {
+                let why = ErrorKind::UnknownApiKey;
+                return (this_node, End::NotRun { why, arrived: false });
+            }
             let round_wait = MAX_WAIT_PER_ROUND.min(time_left(wait_end, now));
             // Its class must not be out of date while it waits: it would take the capacity of those
             // that can still be in time.
@@ -364,6 +368,9 @@
         let (mut full_owners, mut calls_refusals) = (0, 0);
         for _ in 0..MAX_OWNERS_PER_ROUND {
             let Some(RankedOwner { record, refusing }) = preferred.next() else { break };
+            if self.is_revoked(request) {
+                return RoundOutcome::Refused(Vec::new(), ErrorKind::UnknownApiKey);
+            }
             if let Some(state) = refusing {
                 why = ErrorKind::Overloaded;
                 states.push((record, state));
@@ -512,6 +519,11 @@
             retry_safety: request.route.retry_safety,
             is_retry: attempts.is_retry(),
             rank: request.rank,
+            tenant: request
+                .tenant
+                .as_ref()
+                .filter(|_| !attempts.has_begun())
+                .map(|t| t.name.clone()),
             method: request.method.clone(),
             target: request.target.clone(),
             headers: request.headers.clone(),
--- a/src/mesh/owner/calls.rs
+++ b/src/mesh/owner/calls.rs
@@ -31,6 +31,11 @@
 }
 
 impl<C: Clock> Owner<C> {
+    /// Returns whether the upstream makes the request with `id` for one that it runs.
+    pub fn is_nested_call(&self, id: &str) -> bool {
+        self.lock().running.iter().any(|run| is_nested_id(id, &run.id))
+    }
+
     /// Returns the running request on whose behalf the upstream sends the one with `id` to
     /// `service`.
     pub fn parent_of(&self, id: &str, service: &ServiceName) -> Option<Parent> {
