Refuse early from three fifths of the owners, and probe patient requests less

With nine tenths of the owners, most requests above the capacity were still offered, and those that may wait long passed more urgent ones by their number.

--- a/crates/mesh/src/capacity_view.rs
+++ b/crates/mesh/src/capacity_view.rs
@@ -24,10 +24,14 @@
 const MIN_REPORTS: usize = 4;
 
 /// Share of the reporting owners without capacity from which a service counts as full.
-const FULL_SHARE: f64 = 0.9;
+const FULL_SHARE: f64 = 0.6;
 
 /// Share of the requests that are offered to a full service.
-const PROBE_SHARE: f64 = 0.15;
+const PROBE_SHARE: f64 = 0.3;
+
+/// Wait from which on fewer requests are offered to a full service: those that may wait longer find
+/// capacity more often, and would pass more urgent ones by their number.
+const PROBE_WAIT: Duration = Duration::from_millis(200);
 
 /// Share of the requests that are offered to a full service if their answer will be late.
 const LATE_PROBE_SHARE: f64 = 0.05;
@@ -236,6 +240,8 @@
             PriorityClass::Late | PriorityClass::Hedge => LATE_PROBE_SHARE,
             PriorityClass::Nested | PriorityClass::Timely => PROBE_SHARE,
         };
+        let patience = need.max_wait.as_secs_f64() / PROBE_WAIT.as_secs_f64();
+        let probe_share = probe_share / patience.max(1.0);
         if draw < probe_share {
             return Verdict::Probe;
         }
--- a/src/mesh/ingress/admission.rs
+++ b/src/mesh/ingress/admission.rs
@@ -11,10 +11,6 @@
 use super::{Ingress, request::ClientRequest};
 use crate::mesh::metrics::Admission;
 
-/// Least time by which a request's remaining time is shorter than that of others of its route if its
-/// client has returned after a refusal.
-const MIN_RETURN_TIME: Duration = Duration::from_millis(30);
-
 impl<C: Clock> Ingress<C> {
     /// Decides whether a request is refused without an offer; returns the time until capacity is
     /// expected for it, if so.
@@ -61,11 +57,4 @@
             }
         }
     }
-
-    /// Returns whether the client has probably sent the request before and was refused.
-    pub(super) fn has_returned(&self, request: &ClientRequest) -> bool {
-        let Some(remaining) = request.client_timeout else { return false };
-        let waited = self.shared.deployment().waited(&request.route.name, remaining);
-        waited >= MIN_RETURN_TIME
-    }
 }
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -279,11 +279,6 @@
             Some(_) => {
                 time_left(request.deadline, request.arrived).mul_f64(NESTED_MAX_WAIT_FRACTION)
             }
-            // A client that was refused before does not return once more.
-            None if self.has_returned(request) => {
-                let answer_time = self.shared.deployment().mean_answer_time(&request.route);
-                time_left(request.deadline, request.arrived + answer_time)
-            }
             None => objective.mul_f64(MAX_WAIT_OBJECTIVE_FRACTION),
         };
         let wait_end = (request.arrived + max_wait).min(request.deadline);
