--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod odd_entries;
 mod planned_stop;
 mod processes;
+mod shortage;
 mod slow_version;
 mod soak;
 mod store_restore;
