Refuse early only where reports from every zone say that there is no capacity

An ingress asks near owners first, so its reports come mostly from its own zone. While that is full and another is not, requests must go there. Known full owners no longer use up the offers of a round, and a parent is held back only if nearly all owners of its calls' service are full.

--- a/crates/mesh/src/capacity_view.rs
+++ b/crates/mesh/src/capacity_view.rs
@@ -8,18 +8,22 @@
 //! and the simultaneous start of all its upstreams.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use oleandertiller_model::{NodeName, ServiceName};
+use oleandertiller_model::{NodeName, ServiceName, ZoneName};
 
 use crate::admission_queue::{OwnerState, Priority, PriorityClass};
 
 /// Maximum age of a report. Slow periods of an upstream last about half as long.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
 
+/// The same for a service that requests call. A request that runs is worth more than one that is
+/// refused while even a few of its calls get through, so nearly all owners must be full.
+const CALLS_FULL_SHARE: f64 = 0.9;
+
 /// Number of recent reports from which a service may count as full; all owners, if there are fewer.
 const MIN_REPORTS: usize = 4;
 
@@ -61,11 +65,11 @@
     pub max_wait: Duration,
 }
 
-/// Number of owners and ingresses of a service.
-#[derive(Clone, Copy, Debug)]
+/// Owners and ingresses of a service.
+#[derive(Clone, Debug)]
 pub struct Size {
-    /// Owners that may get offers.
-    pub owners: usize,
+    /// Number of owners in each zone that may get offers.
+    pub owners: BTreeMap<ZoneName, usize>,
     /// Nodes that send offers.
     pub senders: usize,
 }
@@ -114,9 +118,10 @@
     Ended,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Report {
     state: OwnerState,
+    zone: ZoneName,
     /// Priority that the expected wait of the state is for.
     priority: Priority,
     at: Instant,
@@ -171,13 +176,14 @@
     pub fn on_state(
         &mut self,
         service: &ServiceName,
-        node: &NodeName,
+        (node, zone): (&NodeName, &ZoneName),
         priority: Priority,
         state: OwnerState,
         now: Instant,
     ) {
         let view = self.services.entry(service.clone()).or_default();
-        view.reports.insert(node.clone(), Report { state, priority, at: now });
+        let report = Report { state, zone: zone.clone(), priority, at: now };
+        view.reports.insert(node.clone(), report);
     }
 
     /// Records whether an owner refused a request of a route because a service that it calls is
@@ -209,16 +215,28 @@
         })
     }
 
-    /// Returns the time until a service is expected to have capacity, if it is known to have none
-    /// for a request in time.
-    pub fn shortage(&self, need: &Need<'_>, owners: usize, now: Instant) -> Option<Duration> {
+    /// Returns the time until a service is expected to have capacity for a request, if at least
+    /// `full_share` of the reporting owners are known to have none in time. That has to hold in each
+    /// zone, because an ingress asks near owners first and knows least of zones with capacity.
+    fn shortage(
+        &self,
+        need: &Need<'_>,
+        size: &Size,
+        full_share: f64,
+        now: Instant,
+    ) -> Option<Duration> {
         let view = self.services.get(need.service)?;
         let fresh: Vec<_> = view.reports.values().filter(|report| report.is_fresh(now)).collect();
-        if owners == 0 || fresh.len() < MIN_REPORTS.min(owners) {
+        if fresh.len() < MIN_REPORTS.min(size.owners.values().sum()).max(1) {
             return None;
         }
-        let full = fresh.iter().filter(|r| r.is_full(need.priority, need.max_wait, now)).count();
-        if (full as f64) < fresh.len() as f64 * FULL_SHARE {
+        let is_full_zone = |zone: &ZoneName| {
+            let reports = fresh.iter().filter(|report| report.zone == *zone);
+            let full = reports.clone().filter(|r| r.is_full(need.priority, need.max_wait, now));
+            let (count, full) = (reports.count(), full.count());
+            count > 0 && full as f64 >= count as f64 * full_share
+        };
+        if !size.owners.keys().all(is_full_zone) {
             return None;
         }
         let mut waits: Vec<_> = fresh.iter().map(|report| report.wait(now)).collect();
@@ -227,11 +245,17 @@
         Some(median.max(need.max_wait / 2))
     }
 
+    /// Returns the expected wait for a service that a request would call, if that is known to have no
+    /// capacity for the calls in time.
+    pub fn calls_shortage(&self, need: &Need<'_>, size: &Size, now: Instant) -> Option<Duration> {
+        self.shortage(need, size, CALLS_FULL_SHARE, now)
+    }
+
     /// Decides whether a request is offered; `draw` is uniform in 0..1.
-    pub fn decide(&mut self, need: &Need<'_>, size: Size, now: Instant, draw: f64) -> Verdict {
+    pub fn decide(&mut self, need: &Need<'_>, size: &Size, now: Instant, draw: f64) -> Verdict {
         let (shortage, wait) = match self.calls_wait(need.route, now) {
             Some(wait) => (Shortage::Calls, wait),
-            None => match self.shortage(need, size.owners, now) {
+            None => match self.shortage(need, size, FULL_SHARE, now) {
                 Some(wait) => (Shortage::Service, wait),
                 None => return Verdict::Offer,
             },
@@ -261,14 +285,15 @@
         &mut self,
         service: &ServiceName,
         wait: Duration,
-        size: Size,
+        size: &Size,
         now: Instant,
     ) -> Duration {
         let view = self.services.entry(service.clone()).or_default();
         view.reports.retain(|_, report| report.is_fresh(now));
         let rates = view.reports.values().map(Report::starts_per_second);
         let mean_rate = rates.sum::<f64>() / view.reports.len().max(1) as f64;
-        let rate = mean_rate * size.owners as f64 / size.senders.max(1) as f64;
+        let rate =
+            mean_rate * size.owners.values().sum::<usize>() as f64 / size.senders.max(1) as f64;
         let interval = Duration::from_secs_f64(1.0 / rate.max(MIN_RATE));
         let earliest = now + wait;
         let at = view.next_return.map_or(earliest, |next| next.max(earliest));
--- a/crates/mesh/tests/mesh/capacity.rs
+++ b/crates/mesh/tests/mesh/capacity.rs
@@ -13,7 +13,9 @@
 
 use crate::crowd::{Crowd, Load, Outcome, run};
 
-const SIZE: Size = Size { owners: 8, senders: 20 };
+fn size(owners: usize) -> Size {
+    Size { owners: [("z1".into(), owners)].into(), senders: 20 }
+}
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -75,7 +77,7 @@
     let mut view = CapacityView::default();
     for owner in 0..owners {
         let priority = (PriorityClass::Timely, 1);
-        view.on_state(service, &node(owner), priority, state(ms(40), Some(1)), now);
+        view.on_state(service, (&node(owner), &"z1".into()), priority, state(ms(40), Some(1)), now);
     }
     view
 }
@@ -164,21 +166,25 @@
     let (start, service): (_, ServiceName) = (Instant::now(), "service".into());
     let need = need(&service, 1, 200);
     let mut view = full_view(&service, 6, start);
-    assert!(matches!(view.decide(&need, SIZE, start, 0.9), Verdict::Refuse { .. }));
+    assert!(matches!(view.decide(&need, &size(8), start, 0.9), Verdict::Refuse { .. }));
     assert!(view.is_full(&node(0), &need, start));
     let late = start + MAX_REPORT_AGE;
-    assert_eq!(view.decide(&need, SIZE, late, 0.9), Verdict::Offer);
+    assert_eq!(view.decide(&need, &size(8), late, 0.9), Verdict::Offer);
     assert!(!view.is_full(&node(0), &need, late));
     let mut view = full_view(&service, 6, start);
     for gone in 0..3 {
         view.forget_owner(&node(gone));
     }
-    assert_eq!(view.decide(&need, SIZE, start, 0.9), Verdict::Offer);
+    assert_eq!(view.decide(&need, &size(8), start, 0.9), Verdict::Offer);
     // Of a small service, all owners must have reported.
     let mut view = full_view(&service, 2, start);
-    let small = Size { owners: 3, ..SIZE };
-    assert_eq!(view.decide(&need, small, start, 0.9), Verdict::Offer);
-    assert_eq!(CapacityView::default().decide(&need, SIZE, start, 0.9), Verdict::Offer);
+    assert_eq!(view.decide(&need, &size(3), start, 0.9), Verdict::Offer);
+    // The owners of another zone may have capacity.
+    let mut view = full_view(&service, 6, start);
+    let mut two_zones = size(8);
+    two_zones.owners.insert("z2".into(), 8);
+    assert_eq!(view.decide(&need, &two_zones, start, 0.9), Verdict::Offer);
+    assert_eq!(CapacityView::default().decide(&need, &size(8), start, 0.9), Verdict::Offer);
 }
 
 /// Guards against a shortage that never ends because nobody asks any more, and against log lines for
@@ -187,7 +193,7 @@
 fn shortage_is_probed_and_logged_once() {
     let (start, service): (_, ServiceName) = (Instant::now(), "service".into());
     let mut view = full_view(&service, 8, start);
-    assert_eq!(view.decide(&need(&service, 1, 200), SIZE, start, 0.01), Verdict::Probe);
+    assert_eq!(view.decide(&need(&service, 1, 200), &size(8), start, 0.01), Verdict::Probe);
     assert_eq!(view.on_decided(&service, true, start), Some(Change::Begun));
     assert_eq!(view.on_decided(&service, true, start + ms(500)), None);
     assert_eq!(view.on_decided(&service, false, start + ms(600)), None);
@@ -213,15 +219,15 @@
     let mut view = CapacityView::default();
     let need = need(&service, 0, 150);
     view.on_calls(&"route".into(), Some(ms(90)), now);
-    assert_eq!(view.decide(&need, SIZE, now, 0.9), Verdict::Offer);
+    assert_eq!(view.decide(&need, &size(8), now, 0.9), Verdict::Offer);
     view.on_calls(&"route".into(), Some(ms(90)), now);
-    let Verdict::Refuse { shortage, expected_wait } = view.decide(&need, SIZE, now, 0.9) else {
+    let Verdict::Refuse { shortage, expected_wait } = view.decide(&need, &size(8), now, 0.9) else {
         panic!("the request must be refused");
     };
     assert_eq!(shortage, Shortage::Calls);
     assert!(expected_wait >= ms(90));
     view.on_calls(&"route".into(), None, now);
-    assert_eq!(view.decide(&need, SIZE, now, 0.9), Verdict::Offer);
+    assert_eq!(view.decide(&need, &size(8), now, 0.9), Verdict::Offer);
 }
 
 proptest! {
@@ -236,11 +242,11 @@
         let mut view = CapacityView::default();
         for (owner, (rank, wait, turned_away)) in reports.into_iter().enumerate() {
             let priority = (PriorityClass::Timely, rank);
-            view.on_state(&service, &node(owner), priority, state(ms(wait), turned_away), start);
+            view.on_state(&service, (&node(owner), &"z1".into()), priority, state(ms(wait), turned_away), start);
         }
         let mut refused = false;
         for rank in 0..3 {
-            let verdict = view.decide(&need(&service, rank, 200), SIZE, start + ms(age), draw);
+            let verdict = view.decide(&need(&service, rank, 200), &size(8), start + ms(age), draw);
             let refuses = matches!(verdict, Verdict::Refuse { .. });
             prop_assert!(refuses || !refused, "rank {rank} is offered, a more urgent one not");
             refused = refuses;
@@ -264,7 +270,7 @@
     let mut view = full_view(&service, 8, start);
     // 8 owners with 10 starts per second each, shared by 20 nodes: one start in 250 ms.
     let need = need(&service, 1, 2_000);
-    let mut told = |at| match view.decide(&need, SIZE, at, 0.9) {
+    let mut told = |at| match view.decide(&need, &size(8), at, 0.9) {
         Verdict::Refuse { expected_wait, .. } => at + expected_wait,
         verdict => panic!("{verdict:?}"),
     };
--- a/crates/mesh/tests/mesh/crowd.rs
+++ b/crates/mesh/tests/mesh/crowd.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::{BTreeMap, BinaryHeap, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,7 +18,7 @@
     retry_after::retry_after,
     sender_share::SenderId,
 };
-use oleandertiller_model::{NodeName, ServiceName};
+use oleandertiller_model::{NodeName, ServiceName, ZoneName};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 
 const STEP: Duration = Duration::from_millis(2);
@@ -91,6 +91,8 @@
     service: ServiceName,
     routes: Vec<Arc<str>>,
     nodes: Vec<NodeName>,
+    zones: Vec<ZoneName>,
+    size: Size,
     queues: Vec<AdmissionQueue>,
     slowness: Vec<f64>,
     views: Vec<CapacityView>,
@@ -110,7 +112,15 @@
             queue.set_cold_limit(crowd.duration, ColdRate::Limited(rate), start);
         }
     }
+    let zones: Vec<ZoneName> =
+        (0..crowd.upstreams).map(|index| format!("zone-{}", index % 3).as_str().into()).collect();
+    let mut owners = BTreeMap::new();
+    for zone in &zones {
+        *owners.entry(zone.clone()).or_default() += 1;
+    }
     let mut model = Model {
+        zones,
+        size: Size { owners, senders: crowd.ingresses },
         rng: StdRng::seed_from_u64(seed),
         service: "service".into(),
         routes: (0..crowd.loads.len()).map(|index| format!("route-{index}").into()).collect(),
@@ -236,7 +246,7 @@
     fn learn(&mut self, request: &Pending, owner: usize, now: Instant) {
         let priority = (self.class(request, now), self.crowd.loads[request.load].rank);
         let state = self.queues[owner].state(priority.0, priority.1, now);
-        let node = &self.nodes[owner];
+        let node = (&self.nodes[owner], &self.zones[owner]);
         self.views[request.ingress].on_state(&self.service, node, priority, state, now);
     }
 
@@ -252,19 +262,22 @@
         let (service, route) = (self.service.clone(), self.routes[request.load].clone());
         let priority = (class, load.rank);
         let need = Need { service: &service, route: &route, priority, max_wait };
-        let size = Size { owners: self.queues.len(), senders: self.crowd.ingresses };
         if !request.decided && self.crowd.use_view && !load.nested {
             let draw = self.rng.random();
             let view = &mut self.views[request.ingress];
-            if let Verdict::Refuse { expected_wait, .. } = view.decide(&need, size, now, draw) {
+            if let Verdict::Refuse { expected_wait, .. } = view.decide(&need, &self.size, now, draw)
+            {
                 return self.refuse(request, expected_wait, remaining, now);
             }
         }
         request.decided = true;
         let mut owners: Vec<usize> = (0..self.queues.len()).collect();
         owners.shuffle(&mut self.rng);
-        let (mut states, mut full) = (Vec::new(), 0);
-        for owner in owners.into_iter().take(6) {
+        let (mut states, mut full, mut asked) = (Vec::new(), 0, 0);
+        for owner in owners {
+            if asked == 6 {
+                break;
+            }
             let view = &self.views[request.ingress];
             if self.crowd.use_view && view.is_full(&self.nodes[owner], &need, now) {
                 full += 1;
@@ -272,6 +285,7 @@
                     continue;
                 }
             }
+            asked += 1;
             if self.admit(&request, owner, now, now) == Admission::Run {
                 return self.start(request, owner, now);
             }
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -8,7 +8,7 @@
 
 use oleandertiller_mesh::{
     admission_queue::{ColdRate, OwnerState},
-    capacity_view::CapacityView,
+    capacity_view::{CapacityView, Size},
     config::{Config, Route},
     latency_estimate::LatencyEstimate,
     leadership::{Leadership, ProcessId},
@@ -211,11 +211,16 @@
         members.map(|member| (self.candidate(member, now), member.record.clone())).collect()
     }
 
-    /// Returns the number of owners of a service that may receive requests.
-    pub fn owner_count(&self, service: &ServiceName, now: Instant) -> usize {
+    /// Returns the numbers of owners of a service that may receive requests, and of all nodes.
+    pub fn service_size(&self, service: &ServiceName, now: Instant) -> Size {
         let allowed_versions = self.allowed_versions(service);
-        let members = self.members.iter();
-        members.filter(|member| self.is_eligible(member, service, &allowed_versions, now)).count()
+        let mut owners = BTreeMap::new();
+        for member in self.members.iter() {
+            if self.is_eligible(member, service, &allowed_versions, now) {
+                *owners.entry(member.record.zone.clone()).or_default() += 1;
+            }
+        }
+        Size { owners, senders: self.members.peak_count() }
     }
 
     fn is_eligible(
--- a/src/mesh/ingress/admission.rs
+++ b/src/mesh/ingress/admission.rs
@@ -4,7 +4,7 @@
 
 use oleandertiller_mesh::{
     admission_queue::PriorityClass,
-    capacity_view::{Change, Need, Size, Verdict},
+    capacity_view::{Change, Need, Verdict},
 };
 use oleandertiller_model::Clock;
 
@@ -30,9 +30,8 @@
             Need { service: &request.service, route: &request.route.name, priority, max_wait };
         let (verdict, change) = {
             let mut deployment = self.shared.deployment();
-            let owners = deployment.owner_count(&request.service, now);
-            let size = Size { owners, senders: deployment.members.peak_count() };
-            let verdict = deployment.capacity.decide(&need, size, now, rand::random());
+            let size = deployment.service_size(&request.service, now);
+            let verdict = deployment.capacity.decide(&need, &size, now, rand::random());
             let refused = matches!(verdict, Verdict::Refuse { .. });
             (verdict, deployment.capacity.on_decided(&request.service, refused, now))
         };
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -367,8 +367,8 @@
             self.rank_owners(request, attempts, version_draw);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
-        let (mut full_owners, mut calls_refusals) = (0, 0);
-        for _ in 0..MAX_OWNERS_PER_ROUND {
+        let (mut asked, mut full_owners, mut calls_refusals) = (0, 0, 0);
+        while asked < MAX_OWNERS_PER_ROUND {
             let Some(record) = preferred.next() else { break };
             if self.is_full(request, &record, conditions) {
                 full_owners += 1;
@@ -376,6 +376,7 @@
                     continue;
                 }
             }
+            asked += 1;
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -653,7 +654,8 @@
         let mut deployment = self.shared.deployment();
         deployment.on_state(node, reply.state, now);
         let priority = (offer.class, offer.rank);
-        deployment.capacity.on_state(&offer.service, node, priority, reply.state, now);
+        let owner = (node, &record.zone);
+        deployment.capacity.on_state(&offer.service, owner, priority, reply.state, now);
         match &reply.end {
             End::NotRun { why: ErrorKind::Overloaded, arrived: false } => {
                 let wait = reply.state.calls_wait;
--- a/src/mesh/owner/calls.rs
+++ b/src/mesh/owner/calls.rs
@@ -55,7 +55,8 @@
         let waits = services.filter_map(|service| {
             let priority = (PriorityClass::Nested, offer.rank);
             let need = Need { service, route: &offer.route, priority, max_wait };
-            deployment.capacity.shortage(&need, deployment.owner_count(service, now), now)
+            let size = deployment.service_size(service, now);
+            deployment.capacity.calls_shortage(&need, &size, now)
         });
         waits.max()
     }
