--- a/src/mesh/ingress/admission.rs
+++ b/src/mesh/ingress/admission.rs
@@ -4,17 +4,13 @@
 
 use oleandertiller_mesh::{
     admission_queue::PriorityClass,
-    capacity_view::{Change, Need, Size, Verdict},
+    capacity_view::{Change, Need, Verdict},
 };
 use oleandertiller_model::Clock;
 
 use super::{Ingress, request::ClientRequest};
 use crate::mesh::metrics::Admission;
 
-/// Least time by which a request's remaining time is shorter than that of others of its route if its
-/// client has returned after a refusal.
-const MIN_RETURN_TIME: Duration = Duration::from_millis(30);
-
 impl<C: Clock> Ingress<C> {
     /// Decides whether a request is refused without an offer; returns the time until capacity is
     /// expected for it, if so.
@@ -34,9 +30,8 @@
             Need { service: &request.service, route: &request.route.name, priority, max_wait };
         let (verdict, change) = {
             let mut deployment = self.shared.deployment();
-            let owners = deployment.owner_count(&request.service, now);
-            let size = Size { owners, senders: deployment.members.peak_count() };
-            let verdict = deployment.capacity.decide(&need, size, now, rand::random());
+            let size = deployment.service_size(&request.service, now);
+            let verdict = deployment.capacity.decide(&need, &size, now, rand::random());
             let refused = matches!(verdict, Verdict::Refuse { .. });
             (verdict, deployment.capacity.on_decided(&request.service, refused, now))
         };
@@ -61,11 +56,4 @@
             }
         }
     }
-
-    /// Returns whether the client has probably sent the request before and was refused.
-    pub(super) fn has_returned(&self, request: &ClientRequest) -> bool {
-        let Some(remaining) = request.client_timeout else { return false };
-        let waited = self.shared.deployment().waited(&request.route.name, remaining);
-        waited >= MIN_RETURN_TIME
-    }
 }
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -268,11 +268,6 @@
             Some(_) => {
                 time_left(request.deadline, request.arrived).mul_f64(NESTED_MAX_WAIT_FRACTION)
             }
-            // A client that was refused before does not return once more.
-            None if self.has_returned(request) => {
-                let answer_time = self.shared.deployment().mean_answer_time(&request.route);
-                time_left(request.deadline, request.arrived + answer_time)
-            }
             None => objective.mul_f64(MAX_WAIT_OBJECTIVE_FRACTION),
         };
         let wait_end = (request.arrived + max_wait).min(request.deadline);
@@ -365,8 +360,8 @@
             self.rank_owners(request, attempts, version_draw, conditions.class);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
-        let (mut full_owners, mut calls_refusals) = (0, 0);
-        for _ in 0..MAX_OWNERS_PER_ROUND {
+        let (mut asked, mut full_owners, mut calls_refusals) = (0, 0, 0);
+        while asked < MAX_OWNERS_PER_ROUND {
             let Some(RankedOwner { record, refusing }) = preferred.next() else { break };
             if self.is_revoked(request) {
                 return RoundOutcome::Refused(Vec::new(), ErrorKind::UnknownApiKey);
@@ -382,6 +377,7 @@
                     continue;
                 }
             }
+            asked += 1;
             if self.shared.clock.now() >= request.deadline {
                 return RoundOutcome::Refused(states, ErrorKind::DeadlineExceeded);
             }
@@ -604,7 +600,8 @@
         let mut deployment = self.shared.deployment();
         deployment.on_state(node, reply.state, now);
         let priority = (offer.class, offer.rank);
-        deployment.capacity.on_state(&offer.service, node, priority, reply.state, now);
+        let owner = (node, &record.zone);
+        deployment.capacity.on_state(&offer.service, owner, priority, reply.state, now);
         match &reply.end {
             End::NotRun { why: ErrorKind::Overloaded, arrived: false } => {
                 let wait = reply.state.calls_wait;
