Learn which zones have room, and move the overflow between zones gradually

Cause: a node knew the state of other zones' owners only by its own requests; each owner with an old state counted as idle. Change: the share of offers that owners of a zone start is learnt from replies and relayed with them (about 12 bytes a zone). Expected refusals are a cost of owners without a recent state; each request draws a part of the cost of another zone, so that the share that leaves grows with the gain. Where hardly any offer is started, three owners are asked in a round in place of six. An owner of which nothing is known is taken to be as slow as the mean of those known.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`token_bucket`]: a limit on a rate that allows short bursts.
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
 //! - [`upstream_capacity`]: what an owner learns of its upstream's capacity.
+//! - [`zone_capacity`]: which zones have room for more requests of a service.
 
 pub mod admission_queue;
 pub mod change_feed;
@@ -41,3 +42,4 @@
 pub mod token_bucket;
 pub mod upstream;
 pub mod upstream_capacity;
+pub mod zone_capacity;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -17,12 +17,17 @@
 use oleandertiller_model::{NodeName, ZoneName};
 use rand::Rng;
 
-use crate::{admission_queue::OwnerState, peer_health::PeerHealth, upstream_capacity::decay};
+use crate::{
+    admission_queue::OwnerState, peer_health::PeerHealth, upstream_capacity::decay,
+    zone_capacity::ZoneCapacity,
+};
 
 /// Time constant with which the weight of an owner's last known state decays.
 const STATE_DECAY: Duration = Duration::from_millis(150);
 
-/// Slowness assumed for an owner without a recent state, in percent of the usual service time.
+/// Slowness assumed for an owner without a recent state while none is known, in percent of the usual
+/// service time. Otherwise the mean of those known is assumed: with less, owners that this node never
+/// asks would look better than the others, and those are mostly in other zones.
 const DEFAULT_SLOWNESS_PERCENT: f64 = 150.0;
 
 /// Added cost of an owner in another zone, in percent of the usual service time.
@@ -59,6 +64,15 @@
 /// time: less than the cost of another zone.
 const GOOD_COST_SPAN_PERCENT: f64 = 20.0;
 
+/// Cost of a refused offer, in percent of the usual service time: a round trip, and the processor
+/// time of both nodes.
+const REFUSAL_COST_PERCENT: f64 = 60.0;
+
+/// Maximum random change of the cost of another zone, one draw for each request, in percent of the
+/// usual service time. The share of requests that leave a zone grows with the gain over twice this
+/// span.
+const ZONE_JITTER_PERCENT: f64 = 15.0;
+
 /// Weight of an owner's state above which its lack of capacity is trusted: one of up to 100 ms.
 const TRUSTED_FRESHNESS: f64 = 0.5;
 
@@ -102,6 +116,17 @@
     pub node: &'a NodeName,
     /// Its availability zone.
     pub zone: &'a ZoneName,
+    /// What it knows of the room of all zones for the service.
+    pub zones: &'a ZoneCapacity,
+}
+
+/// What applies to all costs of one request.
+#[derive(Clone, Copy)]
+struct RequestDraw {
+    explores_other_zones: bool,
+    other_zone_cost: f64,
+    /// Slowness of an owner of which nothing is known, in percent.
+    default_slowness: f64,
 }
 
 /// Returns the indices of candidates in the order in which they are asked. An owner of the same zone
@@ -113,13 +138,16 @@
     now: Instant,
     rng: &mut impl Rng,
 ) -> Vec<usize> {
-    let explores_other_zones = rng.random_bool(EXPLORE_OTHER_ZONES_SHARE);
+    let draw = RequestDraw {
+        explores_other_zones: rng.random_bool(EXPLORE_OTHER_ZONES_SHARE),
+        other_zone_cost: OTHER_ZONE_COST_PERCENT
+            + rng.random_range(-ZONE_JITTER_PERCENT..ZONE_JITTER_PERCENT),
+        default_slowness: default_slowness(candidates),
+    };
     let mut costs: Vec<(f64, usize)> = candidates
         .iter()
         .enumerate()
-        .map(|(index, candidate)| {
-            (cost(candidate, position, explores_other_zones, now, rng), index)
-        })
+        .map(|(index, candidate)| (cost(candidate, position, draw, now, rng), index))
         .collect();
     costs.sort_unstable_by(|(one, _), (other, _)| one.total_cmp(other));
     if candidates.iter().any(|candidate| candidate.limited) {
@@ -168,30 +196,41 @@
     if waits { 1.0 } else { decay(age, STATE_DECAY) }
 }
 
+/// Returns the slowness to assume for an owner of which nothing is known, in percent.
+fn default_slowness(candidates: &[Candidate]) -> f64 {
+    let known = candidates.iter().filter_map(|candidate| candidate.health.state());
+    let (sum, count) = known.fold((0.0, 0.0), |(sum, count), (state, _)| {
+        (sum + f64::from(state.capacity.usual_slowness), count + 1.0)
+    });
+    // The assumption counts as one owner.
+    (sum + DEFAULT_SLOWNESS_PERCENT) / (count + 1.0)
+}
+
 fn cost(
     candidate: &Candidate,
     position: Position<'_>,
-    explores_other_zones: bool,
+    draw: RequestDraw,
     now: Instant,
     rng: &mut impl Rng,
 ) -> f64 {
     let same_zone = candidate.zone == *position.zone;
-    if !candidate.tried && (same_zone || explores_other_zones) {
+    if !candidate.tried && (same_zone || draw.explores_other_zones) {
         return rng.random::<f64>() - 1.0;
     }
     let distance = match candidate.node == *position.node {
         true => 0.0,
         false if same_zone => OTHER_NODE_COST_PERCENT,
-        false => OTHER_ZONE_COST_PERCENT,
+        false => draw.other_zone_cost,
     };
     let health = &candidate.health;
     let in_flight = f64::from(health.in_flight());
+    let refusal_cost = (1.0 - position.zones.room(&candidate.zone, now)) * REFUSAL_COST_PERCENT;
     let (slowness, utilization, known_cost) = match health.state() {
         Some((state, at)) => {
             let age = now.saturating_duration_since(at);
             let freshness = decay(age, STATE_DECAY);
-            let usual = DEFAULT_SLOWNESS_PERCENT
-                + (f64::from(state.capacity.usual_slowness) - DEFAULT_SLOWNESS_PERCENT)
+            let usual = draw.default_slowness
+                + (f64::from(state.capacity.usual_slowness) - draw.default_slowness)
                     * decay(age, CAPACITY_DECAY);
             let slowness = usual + (f64::from(state.slowness) - usual) * freshness;
             let running = f64::from(state.running + state.waiting) * freshness
@@ -199,11 +238,13 @@
             let slots = f64::from(state.slots.max(1));
             let failures = f64::from(state.capacity.failures) / 100.0 * decay(age, CAPACITY_DECAY);
             let known_cost = failures * FAILURE_COST_PERCENT
-                + lacks_capacity(&state, health, age) * FULL_COST_PERCENT;
+                + lacks_capacity(&state, health, age) * FULL_COST_PERCENT
+                // The owner's own state counts more than that of its zone.
+                + refusal_cost * (1.0 - freshness);
             (slowness, running.max(in_flight) / slots, known_cost)
         }
         // Without a state, the number of slots is unknown; four are assumed.
-        None => (DEFAULT_SLOWNESS_PERCENT, in_flight / 4.0, 0.0),
+        None => (draw.default_slowness, in_flight / 4.0, refusal_cost),
     };
     distance
         + known_cost
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -18,3 +18,4 @@
 mod uneven;
 mod upstream;
 mod upstream_capacity;
+mod zone_capacity;
--- a/crates/mesh/tests/mesh/uneven.rs
+++ b/crates/mesh/tests/mesh/uneven.rs
@@ -13,6 +13,7 @@
     },
     peer_health::PeerHealth,
     placement::{Candidate, Position, order_by_cost},
+    zone_capacity::ZoneCapacity,
 };
 use oleandertiller_model::{NodeName, ZoneName};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -52,6 +53,8 @@
     refusals: u32,
     left_zone: u32,
     runs: Vec<u32>,
+    /// Runs in each half second, and those of them in another zone.
+    halves: Vec<(u32, u32)>,
 }
 
 impl Seen {
@@ -91,7 +94,12 @@
         })
         .collect();
     let mut views = vec![view; servers.len()];
-    let mut seen = Seen { runs: vec![0; servers.len()], ..Seen::default() };
+    let mut known_zones = vec![ZoneCapacity::default(); servers.len()];
+    let mut seen = Seen {
+        runs: vec![0; servers.len()],
+        halves: vec![(0, 0); SECONDS as usize * 2 + 1],
+        ..Seen::default()
+    };
     let mut ends: BinaryHeap<Reverse<(Instant, usize, usize, bool)>> = BinaryHeap::new();
     let mut pending: Vec<Pending> = Vec::new();
     let mut slow_period = vec![1.0; servers.len()];
@@ -110,7 +118,13 @@
             let health = &mut views[ingress][owner].health;
             health.on_ended();
             if tells {
-                health.on_state(queues[owner].state(PriorityClass::Timely, 1, end), end);
+                let state = queues[owner].state(PriorityClass::Timely, 1, end);
+                health.on_state(state, end);
+                let reports = known_zones[owner].reports(end);
+                if owner != ingress {
+                    known_zones[ingress].on_offer(&zone(owner), true, end);
+                }
+                known_zones[ingress].on_reports(&reports, end);
             }
         }
         while next_arrival <= at {
@@ -133,9 +147,11 @@
             let own = queues[ingress].state(PriorityClass::Timely, 1, now);
             views[ingress][ingress].health.on_state(own, now);
             let zone_name = zone(ingress);
-            let position = Position { node: &names[ingress], zone: &zone_name };
+            let position =
+                Position { node: &names[ingress], zone: &zone_name, zones: &known_zones[ingress] };
+            let max_offers = known_zones[ingress].max_offers(6, now);
             let order = order_by_cost(&views[ingress], position, now, &mut rng);
-            for owner in order.into_iter().take(6) {
+            for owner in order.into_iter().take(max_offers) {
                 if views[ingress][owner].refusing_state(now).is_some() {
                     continue;
                 }
@@ -158,6 +174,11 @@
                     if tells {
                         let state = queues[owner].state(PriorityClass::Timely, 1, now);
                         views[ingress][owner].health.on_state(state, now);
+                        let reports = known_zones[owner].reports(now);
+                        if owner != ingress {
+                            known_zones[ingress].on_offer(&zone(owner), false, now);
+                        }
+                        known_zones[ingress].on_reports(&reports, now);
                     }
                     continue;
                 }
@@ -168,13 +189,17 @@
                 views[ingress][owner].health.on_sent();
                 seen.runs[owner] += 1;
                 seen.failed += u32::from(failed);
-                seen.left_zone += u32::from(zone(owner) != zone_name);
+                let left_zone = u32::from(zone(owner) != zone_name);
+                seen.left_zone += left_zone;
+                let half = &mut seen.halves[(at * 2.0) as usize];
+                *half = (half.0 + 1, half.1 + left_zone);
                 seen.in_time += u32::from(!failed && end <= request.arrived + OBJECTIVE);
                 return false;
             }
             waited < OBJECTIVE.mul_f64(0.6)
         });
     }
+    eprintln!("{seen:?}");
     seen
 }
 
@@ -233,3 +258,14 @@
     assert!(seen.share(seen.in_time) > 0.9, "{seen:?}");
     assert!(seen.share(seen.left_zone) < 0.35, "{seen:?}");
 }
+
+/// Guards against demand that moves to and fro between zones: zone 0 has 80% of it throughout, and
+/// the share of requests that leave their zone must stay about the same.
+#[test]
+fn overflow_oscillates() {
+    let seen = run(&[GOOD; 40], 2, 0.6 * 40.0 * 4.0 / SERVICE_TIME, true, |_| 0.8);
+    assert!(seen.share(seen.in_time) > 0.9, "{seen:?}");
+    let shares = seen.halves[4..16].iter().map(|(all, left)| f64::from(*left) / f64::from(*all));
+    let (least, most) = shares.fold((1.0_f64, 0.0_f64), |(a, b), x| (a.min(x), b.max(x)));
+    assert!(most - least < 0.15, "{least} to {most}: {seen:?}");
+}
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -17,6 +17,7 @@
     retry_budget::{RetryBudget, RetryBudgetConfig},
     rollout::{AllowedVersions, Phase, RolloutPlan},
     upstream::{Incarnation, Stage},
+    zone_capacity::{ZoneCapacity, ZoneReport},
 };
 use oleandertiller_model::{NodeName, ServiceName, VersionName, ZoneName};
 use oleandertiller_platform::rollout::RolloutOrder;
@@ -60,6 +61,7 @@
     /// Leaderships of rollouts by service.
     pub leaderships: BTreeMap<ServiceName, Leadership>,
     peers: HashMap<NodeName, PeerHealth>,
+    zone_capacities: HashMap<ServiceName, ZoneCapacity>,
     /// Owners whose upstream has named a limit on its requests, and when it last did.
     limited_owners: HashMap<NodeName, Instant>,
     /// Upstreams that said in a response to this node that they are leaving, by owner. The owner
@@ -84,6 +86,7 @@
             lost_plans: BTreeSet::new(),
             leaderships: BTreeMap::new(),
             peers: HashMap::new(),
+            zone_capacities: HashMap::new(),
             limited_owners: HashMap::new(),
             leaving_upstreams: HashMap::new(),
             latencies: HashMap::new(),
@@ -240,6 +243,30 @@
         }
     }
 
+    /// Records what a reply says of the room of zones: whether the owner started the request, if
+    /// that tells, and what its node knows.
+    pub fn on_zones(
+        &mut self,
+        service: &ServiceName,
+        started: Option<(&ZoneName, bool)>,
+        reports: &[ZoneReport],
+        now: Instant,
+    ) {
+        let zones = match self.zone_capacities.get_mut(service) {
+            Some(zones) => zones,
+            None => self.zone_capacities.entry(service.clone()).or_default(),
+        };
+        if let Some((zone, started)) = started {
+            zones.on_offer(zone, started, now);
+        }
+        zones.on_reports(reports, now);
+    }
+
+    /// Returns the room of all zones for a service, if this node has learnt of it.
+    pub fn zone_capacity(&self, service: &ServiceName) -> Option<&ZoneCapacity> {
+        self.zone_capacities.get(service)
+    }
+
     /// Sets the state of this node's own owner.
     pub fn on_own_state(&mut self, node: &NodeName, state: OwnerState, now: Instant) {
         self.peers.entry(node.clone()).or_default().on_state(state, now);
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -36,9 +36,6 @@
     metrics::{Decision, Dependency},
 };
 
-/// Maximum number of owners that are offered a request in one round.
-const MAX_OWNERS_PER_ROUND: usize = 6;
-
 /// Maximum wait at one owner, after which all owners are asked again.
 const MAX_WAIT_PER_ROUND: Duration = Duration::from_millis(80);
 
@@ -311,11 +308,11 @@
         version_draw: f64,
         conditions: StartConditions,
     ) -> RoundOutcome {
-        let RankedOwners { mut preferred, mut fallback } =
+        let RankedOwners { mut preferred, mut fallback, max_offers } =
             self.rank_owners(request, attempts, version_draw, conditions.class);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
-        for _ in 0..MAX_OWNERS_PER_ROUND {
+        for _ in 0..max_offers {
             let Some(RankedOwner { record, refusing }) = preferred.next() else { break };
             if let Some(state) = refusing {
                 why = ErrorKind::Overloaded;
@@ -327,7 +324,7 @@
             }
             let offer = self.new_offer(request, attempts, &record, Duration::ZERO, conditions);
             match self.send_offer(&record, attempts, &offer, request.deadline).await {
-                Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state }) => {
+                Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state, .. }) => {
                     attempts.record_hop(&record.node, kind.answer().name);
                     why = kind;
                     match kind {
@@ -476,7 +473,8 @@
             call_outcome,
             now.saturating_duration_since(sent),
         );
-        let unknown = |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE };
+        let unknown =
+            |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE, zones: Vec::new() };
         match decoded {
             Ok(Ok(reply)) => {
                 self.on_reply(&reply, offer, record, sent);
@@ -506,6 +504,20 @@
         let now = self.shared.clock.now();
         let mut deployment = self.shared.deployment();
         deployment.on_state(node, reply.state, now);
+        let started = match reply.end {
+            End::NotRun { arrived: false, why: ErrorKind::Overloaded | ErrorKind::Cold } => {
+                Some(false)
+            }
+            End::NotRun { arrived: false, .. } => None,
+            _ => Some(true),
+        };
+        // An offer that may wait, and a hedge, meet other conditions. The state of this node's own
+        // owner is known.
+        let tells = offer.max_wait.is_zero()
+            && offer.class != PriorityClass::Hedge
+            && *node != self.shared.settings.node.name;
+        let started = started.filter(|_| tells).map(|started| (&record.zone, started));
+        deployment.on_zones(&offer.service, started, &reply.zones, now);
         match &reply.end {
             End::Answered(response) => {
                 let limited = response.headers.get(header::REQUEST_LIMIT).is_some();
--- a/src/mesh/ingress/ranking.rs
+++ b/src/mesh/ingress/ranking.rs
@@ -7,6 +7,7 @@
     members::NodeRecord,
     placement::{Candidate, Position, order_by_cost},
     rollout::AllowedVersions,
+    zone_capacity::ZoneCapacity,
 };
 use oleandertiller_model::Clock;
 
@@ -16,6 +17,9 @@
     request::ClientRequest,
 };
 
+/// Maximum number of owners that are offered a request in one round.
+const MAX_OWNERS_PER_ROUND: usize = 6;
+
 /// An owner that may get an offer.
 pub(super) struct RankedOwner {
     /// Record of its node.
@@ -29,12 +33,14 @@
     pub(super) preferred: vec::IntoIter<RankedOwner>,
     /// Owners that are asked instead once one of the first refuses for its version.
     pub(super) fallback: Option<vec::IntoIter<RankedOwner>>,
+    /// Maximum number of owners to ask in one round.
+    pub(super) max_offers: usize,
 }
 
 impl RankedOwners {
     fn new(preferred: Vec<RankedOwner>, fallback: Option<Vec<RankedOwner>>) -> Self {
         let fallback = fallback.map(Vec::into_iter);
-        Self { preferred: preferred.into_iter(), fallback }
+        Self { preferred: preferred.into_iter(), fallback, max_offers: MAX_OWNERS_PER_ROUND }
     }
 }
 
@@ -61,9 +67,12 @@
             });
         }
         let allowed_versions = deployment.allowed_versions(&request.service);
+        let zones = deployment.zone_capacity(&request.service).cloned().unwrap_or_default();
         drop(deployment);
         let AllowedVersions::Share(version, share) = allowed_versions else {
-            return RankedOwners::new(self.sort_owners(owners, class, now), None);
+            let max_offers = zones.max_offers(MAX_OWNERS_PER_ROUND, now);
+            let ranked = RankedOwners::new(self.sort_owners(owners, &zones, class, now), None);
+            return RankedOwners { max_offers, ..ranked };
         };
         let is_new = |record: &NodeRecord| {
             record.upstream.as_ref().is_some_and(|upstream| upstream.version == version)
@@ -74,7 +83,7 @@
             // The new version is asked only if no owner of the old one is left, and serves what its
             // leader has granted.
             let owners = if old.is_empty() { new } else { old };
-            return RankedOwners::new(self.sort_owners(owners, class, now), None);
+            return RankedOwners::new(self.sort_owners(owners, &zones, class, now), None);
         }
         let new = match share < 1.0 {
             true => {
@@ -83,9 +92,9 @@
                 new.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
                 new.into_iter().map(|(_, record)| RankedOwner { record, refusing: None }).collect()
             }
-            false => self.sort_owners(new, class, now),
+            false => self.sort_owners(new, &zones, class, now),
         };
-        let old = self.sort_owners(old, class, now);
+        let old = self.sort_owners(old, &zones, class, now);
         if new.is_empty() {
             RankedOwners::new(old, None)
         } else {
@@ -97,11 +106,12 @@
     fn sort_owners(
         &self,
         owners: Vec<(Candidate, Arc<NodeRecord>)>,
+        zones: &ZoneCapacity,
         class: PriorityClass,
         now: Instant,
     ) -> Vec<RankedOwner> {
         let settings = &self.shared.settings.node;
-        let position = Position { node: &settings.name, zone: &settings.zone };
+        let position = Position { node: &settings.name, zone: &settings.zone, zones };
         let (candidates, records): (Vec<_>, Vec<_>) = owners.into_iter().unzip();
         let order = order_by_cost(&candidates, position, now, &mut rand::rng());
         let ranked = order.into_iter().map(|index| {
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -8,6 +8,7 @@
     crash_suspects::{Fingerprint, SuspectRecord},
     exposure::{Grant, OwnerCounts},
     rollout::Evidence,
+    zone_capacity::ZoneReport,
 };
 use oleandertiller_model::{ErrorKind, NodeName, ServiceName, VersionName};
 use oleandertiller_platform::header;
@@ -165,4 +166,6 @@
     pub end: End,
     /// State of the owner after the offer.
     pub state: OwnerState,
+    /// What the owner's node knows of the room of zones for the service.
+    pub zones: Vec<ZoneReport>,
 }
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -357,7 +357,11 @@
                 patience_ms = offer.max_wait.as_millis() as u64;
                 "upstream refused or lost a request");
         }
-        Reply { end, state }
+        let zones = match offer.node == self.cfg.node {
+            true => self.zone_reports(&offer.service),
+            false => Vec::new(),
+        };
+        Reply { end, state, zones }
     }
 
     async fn admit_and_run(&self, offer: &Offer, deadline: Instant) -> End {
--- a/src/mesh/owner/capacity.rs
+++ b/src/mesh/owner/capacity.rs
@@ -2,8 +2,8 @@
 
 use std::time::Instant;
 
-use oleandertiller_mesh::upstream_capacity::RunStart;
-use oleandertiller_model::Clock;
+use oleandertiller_mesh::{upstream_capacity::RunStart, zone_capacity::ZoneReport};
+use oleandertiller_model::{Clock, ServiceName};
 
 use super::{Inner, Owner, RunningRequest};
 use crate::mesh::message::{End, Offer};
@@ -27,6 +27,13 @@
 }
 
 impl<C: Clock> Owner<C> {
+    /// Returns what this node knows of the room of zones for a service.
+    pub(super) fn zone_reports(&self, service: &ServiceName) -> Vec<ZoneReport> {
+        let deployment = self.deployment();
+        let zones = deployment.zone_capacity(service);
+        zones.map(|zones| zones.reports(self.clock.now())).unwrap_or_default()
+    }
+
     /// Records the start of a run; `None` if its time will tell nothing of the capacity.
     pub(super) fn on_start(&self, run: RunningRequest, now: Instant) -> Option<RunStart> {
         let mut inner = self.lock();
