Order owners without the room of their zones

Change: the term is removed. The states of the owners and the drawn cost of the way decide what leaves a zone; the room of zones bounds the offers of a round.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -17,10 +17,7 @@
 use oleandertiller_model::{NodeName, ZoneName};
 use rand::Rng;
 
-use crate::{
-    admission_queue::OwnerState, peer_health::PeerHealth, upstream_capacity::decay,
-    zone_capacity::ZoneCapacity,
-};
+use crate::{admission_queue::OwnerState, peer_health::PeerHealth, upstream_capacity::decay};
 
 /// Time constant with which the weight of an owner's last known state decays.
 const STATE_DECAY: Duration = Duration::from_millis(150);
@@ -64,17 +61,13 @@
 /// time: less than the cost of another zone.
 const GOOD_COST_SPAN_PERCENT: f64 = 20.0;
 
-/// Cost of a refused offer, in percent of the usual service time: a round trip, and the processor
-/// time of both nodes.
-const REFUSAL_COST_PERCENT: f64 = 60.0;
-
 /// Maximum random change of the cost of another zone, one draw for each request, in percent of the
-/// usual service time. The share of requests that leave a zone grows with the gain over twice this
-/// span.
+/// usual service time. The share of requests that leave a zone thus grows with the gain, over twice
+/// this span, so that demand does not move to and fro between zones.
 const ZONE_JITTER_PERCENT: f64 = 15.0;
 
-/// Weight of an owner's state above which its lack of capacity is trusted: one of up to 100 ms.
-const TRUSTED_FRESHNESS: f64 = 0.5;
+/// Weight of an owner's state above which its lack of capacity is trusted: one of up to 180 ms.
+const TRUSTED_FRESHNESS: f64 = 0.3;
 
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
@@ -116,8 +109,6 @@
     pub node: &'a NodeName,
     /// Its availability zone.
     pub zone: &'a ZoneName,
-    /// What it knows of the room of all zones for the service.
-    pub zones: &'a ZoneCapacity,
 }
 
 /// What applies to all costs of one request.
@@ -224,7 +215,6 @@
     };
     let health = &candidate.health;
     let in_flight = f64::from(health.in_flight());
-    let refusal_cost = (1.0 - position.zones.room(&candidate.zone, now)) * REFUSAL_COST_PERCENT;
     let (slowness, utilization, known_cost) = match health.state() {
         Some((state, at)) => {
             let age = now.saturating_duration_since(at);
@@ -238,13 +228,11 @@
             let slots = f64::from(state.slots.max(1));
             let failures = f64::from(state.capacity.failures) / 100.0 * decay(age, CAPACITY_DECAY);
             let known_cost = failures * FAILURE_COST_PERCENT
-                + lacks_capacity(&state, health, age) * FULL_COST_PERCENT
-                // The owner's own state counts more than that of its zone.
-                + refusal_cost * (1.0 - freshness);
+                + lacks_capacity(&state, health, age) * FULL_COST_PERCENT;
             (slowness, running.max(in_flight) / slots, known_cost)
         }
         // Without a state, the number of slots is unknown; four are assumed.
-        None => (draw.default_slowness, in_flight / 4.0, refusal_cost),
+        None => (draw.default_slowness, in_flight / 4.0, 0.0),
     };
     distance
         + known_cost
--- a/crates/mesh/src/zone_capacity.rs
+++ b/crates/mesh/src/zone_capacity.rs
@@ -5,15 +5,10 @@
 //! offers to a zone's owners that these start is learnt from all replies. A reply also relays what
 //! its sender knows of the other zones, so that a node knows zones to which it sends nothing.
 //!
-//! A request leaves its zone when the refusals that it would meet there cost more than the way to
-//! another one. Two things keep demand from moving to and fro between zones, when all nodes see the
-//! same figures: these are smoothed over several answer times, and each request draws a part of the
-//! cost of the way, so that the share of requests that leave grows with the gain. This handles
-//! waves of demand of some seconds and clients that move between zones.
-//!
-//! Owners of cold or limited upstreams have room as far as their rate allows, so they take part in
-//! the room of a zone before the others are full. What is known of a zone decays to unknown, which
-//! counts as room.
+//! Where hardly any offer is started in any zone, few owners are asked in a round: each offer is a
+//! round trip, and waiting in a queue promises more. What is known of a zone decays to unknown, which
+//! counts as room. This handles demand beyond the capacity of a service, and waves of demand of some
+//! seconds in one zone, in which owners elsewhere are still asked.
 
 use std::time::{Duration, Instant};
 
@@ -22,8 +17,9 @@
 
 use crate::upstream_capacity::decay;
 
-/// Time over which the room of a zone is smoothed: a few answer times.
-const SMOOTHING: Duration = Duration::from_millis(400);
+/// Time over which the room of a zone is smoothed: several answer times, and some dozen offers of one
+/// node.
+const SMOOTHING: Duration = Duration::from_millis(800);
 
 /// Least weight of one reply, and so the inverse of the number of replies that are smoothed when many
 /// arrive at once.
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -11,7 +11,6 @@
     peer_health::PeerHealth,
     placement::{Candidate, Position, order_by_cost, shortest_wait},
     upstream_capacity::UpstreamCapacity,
-    zone_capacity::ZoneCapacity,
 };
 use oleandertiller_model::NodeName;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -33,7 +32,7 @@
 
 /// Sorts candidates into the order in which an ingress of zone `z1` asks them.
 fn sort_by_cost(candidates: &mut Vec<Candidate>, node: &NodeName, now: Instant, rng: &mut StdRng) {
-    let position = Position { node, zone: &"z1".into(), zones: &ZoneCapacity::default() };
+    let position = Position { node, zone: &"z1".into() };
     let order = order_by_cost(candidates, position, now, rng);
     *candidates = order.into_iter().map(|index| candidates[index].clone()).collect();
 }
--- a/crates/mesh/tests/mesh/uneven.rs
+++ b/crates/mesh/tests/mesh/uneven.rs
@@ -147,8 +147,7 @@
             let own = queues[ingress].state(PriorityClass::Timely, 1, now);
             views[ingress][ingress].health.on_state(own, now);
             let zone_name = zone(ingress);
-            let position =
-                Position { node: &names[ingress], zone: &zone_name, zones: &known_zones[ingress] };
+            let position = Position { node: &names[ingress], zone: &zone_name };
             let max_offers = known_zones[ingress].max_offers(6, now);
             let order = order_by_cost(&views[ingress], position, now, &mut rng);
             for owner in order.into_iter().take(max_offers) {
@@ -199,7 +198,6 @@
             waited < OBJECTIVE.mul_f64(0.6)
         });
     }
-    eprintln!("{seen:?}");
     seen
 }
 
--- a/src/mesh/ingress/ranking.rs
+++ b/src/mesh/ingress/ranking.rs
@@ -7,7 +7,6 @@
     members::NodeRecord,
     placement::{Candidate, Position, order_by_cost},
     rollout::AllowedVersions,
-    zone_capacity::ZoneCapacity,
 };
 use oleandertiller_model::Clock;
 
@@ -67,11 +66,12 @@
             });
         }
         let allowed_versions = deployment.allowed_versions(&request.service);
-        let zones = deployment.zone_capacity(&request.service).cloned().unwrap_or_default();
+        let max_offers = deployment
+            .zone_capacity(&request.service)
+            .map_or(MAX_OWNERS_PER_ROUND, |zones| zones.max_offers(MAX_OWNERS_PER_ROUND, now));
         drop(deployment);
         let AllowedVersions::Share(version, share) = allowed_versions else {
-            let max_offers = zones.max_offers(MAX_OWNERS_PER_ROUND, now);
-            let ranked = RankedOwners::new(self.sort_owners(owners, &zones, class, now), None);
+            let ranked = RankedOwners::new(self.sort_owners(owners, class, now), None);
             return RankedOwners { max_offers, ..ranked };
         };
         let is_new = |record: &NodeRecord| {
@@ -83,7 +83,7 @@
             // The new version is asked only if no owner of the old one is left, and serves what its
             // leader has granted.
             let owners = if old.is_empty() { new } else { old };
-            return RankedOwners::new(self.sort_owners(owners, &zones, class, now), None);
+            return RankedOwners::new(self.sort_owners(owners, class, now), None);
         }
         let new = match share < 1.0 {
             true => {
@@ -92,9 +92,9 @@
                 new.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
                 new.into_iter().map(|(_, record)| RankedOwner { record, refusing: None }).collect()
             }
-            false => self.sort_owners(new, &zones, class, now),
+            false => self.sort_owners(new, class, now),
         };
-        let old = self.sort_owners(old, &zones, class, now);
+        let old = self.sort_owners(old, class, now);
         if new.is_empty() {
             RankedOwners::new(old, None)
         } else {
@@ -106,12 +106,11 @@
     fn sort_owners(
         &self,
         owners: Vec<(Candidate, Arc<NodeRecord>)>,
-        zones: &ZoneCapacity,
         class: PriorityClass,
         now: Instant,
     ) -> Vec<RankedOwner> {
         let settings = &self.shared.settings.node;
-        let position = Position { node: &settings.name, zone: &settings.zone, zones };
+        let position = Position { node: &settings.name, zone: &settings.zone };
         let (candidates, records): (Vec<_>, Vec<_>) = owners.into_iter().unzip();
         let order = order_by_cost(&candidates, position, now, &mut rand::rng());
         let ranked = order.into_iter().map(|index| {
