--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`upstream`]: what the local upstream announces, and which announcement counts.
 //! - [`upstream_capacity`]: what an owner learns of its upstream's capacity.
 //! - [`usage`]: how many requests of each tenant began to run, and who reports that.
+//! - [`zone_capacity`]: which zones have room for more requests of a service.
 
 pub mod admission_queue;
 pub mod capacity_view;
@@ -53,3 +54,4 @@
 pub mod upstream;
 pub mod upstream_capacity;
 pub mod usage;
+pub mod zone_capacity;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -22,3 +22,4 @@
 mod upstream;
 mod upstream_capacity;
 mod usage;
+mod zone_capacity;
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -38,9 +38,6 @@
     metrics::{Admission, Decision, Dependency},
 };
 
-/// Maximum number of owners that are offered a request in one round.
-const MAX_OWNERS_PER_ROUND: usize = 6;
-
 /// Maximum number of owners that are offered a request in one round although they are known to have
 /// no capacity for it.
 const MAX_FULL_OWNERS_PER_ROUND: usize = 2;
@@ -356,12 +353,12 @@
         version_draw: f64,
         conditions: StartConditions,
     ) -> RoundOutcome {
-        let RankedOwners { mut preferred, mut fallback } =
+        let RankedOwners { mut preferred, mut fallback, max_offers } =
             self.rank_owners(request, attempts, version_draw, conditions.class);
         let mut states = Vec::new();
         let mut why = ErrorKind::NoUpstream;
         let (mut asked, mut full_owners, mut calls_refusals) = (0, 0, 0);
-        while asked < MAX_OWNERS_PER_ROUND {
+        while asked < max_offers {
             let Some(RankedOwner { record, refusing }) = preferred.next() else { break };
             if self.is_revoked(request) {
                 return RoundOutcome::Refused(Vec::new(), ErrorKind::UnknownApiKey);
@@ -383,7 +380,7 @@
             }
             let offer = self.new_offer(request, attempts, &record, Duration::ZERO, conditions);
             match self.send_offer(&record, attempts, &offer, request.deadline).await {
-                Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state }) => {
+                Ok(Reply { end: End::NotRun { why: kind, arrived: false }, state, .. }) => {
                     attempts.record_hop(&record.node, kind.answer().name);
                     why = kind;
                     match kind {
@@ -469,7 +466,7 @@
         record: &Arc<NodeRecord>,
         reply: Reply,
     ) -> Option<(NodeName, End)> {
-        let Reply { end, state } = reply;
+        let Reply { end, state, .. } = reply;
         attempts.lock().upstreams_reached += 1;
         match end {
             End::NotRun { why, .. } => {
@@ -569,7 +566,8 @@
             call_outcome,
             now.saturating_duration_since(sent),
         );
-        let unknown = |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE };
+        let unknown =
+            |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE, zones: Vec::new() };
         match decoded {
             Ok(Ok(reply)) => {
                 self.on_reply(&reply, offer, record, sent);
@@ -612,6 +610,20 @@
             End::Answered(_) => deployment.capacity.on_calls(&offer.route, None, now),
             _ => {}
         }
+        let started = match reply.end {
+            End::NotRun { arrived: false, why: ErrorKind::Overloaded | ErrorKind::Cold } => {
+                Some(false)
+            }
+            End::NotRun { arrived: false, .. } => None,
+            _ => Some(true),
+        };
+        // An offer that may wait, and a hedge, meet other conditions. The state of this node's own
+        // owner is known.
+        let tells = offer.max_wait.is_zero()
+            && offer.class != PriorityClass::Hedge
+            && *node != self.shared.settings.node.name;
+        let started = started.filter(|_| tells).map(|started| (&record.zone, started));
+        deployment.on_zones(&offer.service, started, &reply.zones, now);
         match &reply.end {
             End::Answered(response) => {
                 let limited = response.headers.get(header::REQUEST_LIMIT).is_some();
--- a/src/mesh/ingress/ranking.rs
+++ b/src/mesh/ingress/ranking.rs
@@ -16,6 +16,9 @@
     request::ClientRequest,
 };
 
+/// Maximum number of owners that are offered a request in one round.
+const MAX_OWNERS_PER_ROUND: usize = 6;
+
 /// An owner that may get an offer.
 pub(super) struct RankedOwner {
     /// Record of its node.
@@ -29,12 +32,14 @@
     pub(super) preferred: vec::IntoIter<RankedOwner>,
     /// Owners that are asked instead once one of the first refuses for its version.
     pub(super) fallback: Option<vec::IntoIter<RankedOwner>>,
+    /// Maximum number of owners to ask in one round.
+    pub(super) max_offers: usize,
 }
 
 impl RankedOwners {
     fn new(preferred: Vec<RankedOwner>, fallback: Option<Vec<RankedOwner>>) -> Self {
         let fallback = fallback.map(Vec::into_iter);
-        Self { preferred: preferred.into_iter(), fallback }
+        Self { preferred: preferred.into_iter(), fallback, max_offers: MAX_OWNERS_PER_ROUND }
     }
 }
 
@@ -61,9 +66,13 @@
             });
         }
         let allowed_versions = deployment.allowed_versions(&request.service);
+        let max_offers = deployment
+            .zone_capacity(&request.service)
+            .map_or(MAX_OWNERS_PER_ROUND, |zones| zones.max_offers(MAX_OWNERS_PER_ROUND, now));
         drop(deployment);
         let AllowedVersions::Share(version, share) = allowed_versions else {
-            return RankedOwners::new(self.sort_owners(owners, class, now), None);
+            let ranked = RankedOwners::new(self.sort_owners(owners, class, now), None);
+            return RankedOwners { max_offers, ..ranked };
         };
         let is_new = |record: &NodeRecord| {
             record.upstream.as_ref().is_some_and(|upstream| upstream.version == version)
