Test processes under crowds of clients that the operators do not control

Clients ended a process by exhausting its memory with large, chunked and oversized bodies that they left unfinished. Three tests with real processes check that the process lives, that its memory and its descriptors stay under the bounds in its settings, and that an ordinary request is answered while the crowd is still connected: 200 connections, memory-mb 48, descriptors 160, bodies of 1 MiB.

The key [node] descriptors is only read so far.

--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -93,6 +93,19 @@
         self.child = Some(child);
     }
 
+    /// Adds lines to the section `[node]` of its settings.
+    fn add_node_settings(&self, lines: &str) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, text.replacen("[node]\n", &format!("[node]\n{lines}"), 1))
+            .unwrap();
+    }
+
+    /// Returns a path below the process's directory in `/proc`.
+    pub fn proc_path(&self, name: &str) -> std::path::PathBuf {
+        let id = self.child.as_ref().unwrap().id();
+        ["/proc", &id.to_string(), name].iter().collect()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
@@ -263,9 +276,18 @@
         Self::launch(count, StdoutReader::Running, true).await
     }
 
+    /// Starts `count` nodes with further lines in their section `[node]`.
+    pub async fn start_limited(count: usize, node_settings: &str, config: &Value) -> Self {
+        let specs = vec![DEFAULT_MEMBER; count];
+        let reader = StdoutReader::Running;
+        let mut fleet = Self::launch_specs(&specs, config, reader, false, node_settings).await;
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
     async fn launch(count: usize, reader: StdoutReader, proxied: bool) -> Self {
         let specs = vec![DEFAULT_MEMBER; count];
-        let mut fleet = Self::launch_specs(&specs, &config(3, None), reader, proxied).await;
+        let mut fleet = Self::launch_specs(&specs, &config(3, None), reader, proxied, "").await;
         fleet.wait_until_ready().await;
         fleet
     }
@@ -273,7 +295,7 @@
     /// Starts the nodes of a deployment, whose upstreams have not announced themselves yet. They
     /// reach the store and their upstreams through proxies.
     pub async fn start_specs(specs: &[MemberSpec], config: &Value) -> Self {
-        Self::launch_specs(specs, config, StdoutReader::Running, true).await
+        Self::launch_specs(specs, config, StdoutReader::Running, true, "").await
     }
 
     async fn launch_specs(
@@ -281,6 +303,7 @@
         config: &Value,
         reader: StdoutReader,
         proxied: bool,
+        node_settings: &str,
     ) -> Self {
         let (mut ports, dir) = (PortBlock::reserve(), TempDir::new().unwrap());
         let store = KvStore::start(ports.next_address().unwrap()).await.unwrap();
@@ -288,6 +311,7 @@
         let mut members = Vec::new();
         for (index, spec) in specs.iter().enumerate() {
             let mut member = Self::member(index, spec, &mut ports, &store, &dir, proxied).await;
+            member.add_node_settings(node_settings);
             member.start(reader);
             members.push(member);
         }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -12,5 +12,6 @@
 mod slow_version;
 mod soak;
 mod store_restore;
+mod untrusted_clients;
 mod upstream_conditions;
 mod upstream_responses;
