--- a/crates/mesh/src/crash_suspects.rs
+++ b/crates/mesh/src/crash_suspects.rs
@@ -29,25 +29,23 @@
 
 impl Fingerprint {
     /// Computes the fingerprint of a request.
-    pub fn new(
+    pub fn new<'a>(
         service: &ServiceName,
         caller: &str,
         method: &str,
         target: &str,
-        body: &[u8],
+        body: impl IntoIterator<Item = &'a [u8]>,
     ) -> Self {
         let mut hash = Xxh3::new();
-        for part in [
-            service.as_str().as_bytes(),
-            caller.as_bytes(),
-            method.as_bytes(),
-            target.as_bytes(),
-            body,
-        ] {
+        for part in
+            [service.as_str().as_bytes(), caller.as_bytes(), method.as_bytes(), target.as_bytes()]
+        {
             // The length delimits the parts.
             hash.update(&(part.len() as u64).to_le_bytes());
             hash.update(part);
         }
+        // It is the last part, so nothing delimits it.
+        body.into_iter().for_each(|part| hash.update(part));
         Self(hash.digest128())
     }
 }
--- a/crates/mesh/tests/mesh/crash_suspects.rs
+++ b/crates/mesh/tests/mesh/crash_suspects.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 fn request(target: &str) -> Fingerprint {
-    Fingerprint::new(&"desk".into(), "stock", "GET", target, b"")
+    Fingerprint::new(&"desk".into(), "stock", "GET", target, [])
 }
 
 fn crash(number: u64) -> CrashId {
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -6,15 +6,18 @@
 //! `oleandertiller-mesh`, the platform's wire formats are in `oleandertiller-platform`, and this
 //! module does the I/O.
 
+pub mod body;
 pub mod change_feed;
 pub mod control;
 pub mod crash_reporter;
 pub mod daemon;
 pub mod deployment_state;
 pub mod flag;
+pub mod frame;
 pub mod http;
 pub mod ingress;
 pub mod log;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod owner;
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -100,6 +100,7 @@
                 (if self.shared.is_ready() { 200 } else { 503 }, JSON, "{}".into())
             }
             ("GET", METRICS_PATH) => {
+                self.shared.metrics.set_memory(&self.shared.memory);
                 let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
                 (200, content_type, self.shared.metrics.encode())
             }
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -13,22 +13,27 @@
 use async_std::{net::TcpListener, task};
 use bytes::Bytes;
 use event_listener::Event;
+use h2::RecvStream;
 use oleandertiller_mesh::{
     config::Config, exposure::ExposureLimit, leadership::ProcessId, members::NodeRecord,
-    retry_budget::RetryBudgetConfig, stop::StopSchedule,
+    memory_budget::Holder, retry_budget::RetryBudgetConfig, stop::StopSchedule,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
     message::{CallHead, ReplyHead},
 };
+use socket2::SockRef;
 
 use super::{
+    body::BodyLimits,
     change_feed::{CHANGES_PATH, ChangeFeed, ChangeRequest},
     control::ControlServer,
     crash_reporter::CrashReporter,
     deployment_state::DeploymentState,
     flag::Flag,
+    frame,
     ingress::Ingress,
+    memory::MemoryAccount,
     message::{CRASHES_PATH, CrashReport, OFFER_PATH, Offer, REPORT_PATH, ReportRequest},
     metrics::Metrics,
     owner::{Owner, OwnerConfig},
@@ -39,7 +44,7 @@
 };
 use crate::{
     node::{
-        inner::{ControlHandler, client::InnerClient, server::InnerServer},
+        inner::{ControlHandler, MessageError, client::InnerClient, server::InnerServer},
         timer::Timers,
     },
     settings::mesh::MeshSettings,
@@ -49,12 +54,22 @@
 /// node gets a processor.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum size of a response body, in bytes: what fits into a message between nodes.
+/// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
+/// Longest time for a peer to send one offer.
+const MAX_OFFER_READ_TIME: Duration = Duration::from_secs(30);
+
+/// Receive buffer of the sockets of clients, in bytes: enough for the path to a client in another
+/// zone, and little enough that thousands of clients who send more than is read are harmless.
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
 /// Fraction of the allowed health check rate that is used.
 const HEALTH_CHECK_FRACTION: f64 = 0.6;
 
+/// Bytes of a megabyte in the settings.
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// Timeout of removing the node's record when the process stops.
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -86,6 +101,8 @@
     pub store_unreachable: Flag,
     /// Change feed for the other nodes of the zone.
     pub change_feed: ChangeFeed,
+    /// Account of the process's memory.
+    pub memory: Arc<MemoryAccount>,
     /// Figures that the metrics endpoint reports.
     pub metrics: Arc<Metrics>,
     /// Times of the planned stop, once the process has been asked to stop.
@@ -246,16 +263,40 @@
     async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
         ControlHandler::control(self, path, body).await
     }
+
+    async fn stream(
+        &self,
+        path: &str,
+        stream: &mut RecvStream,
+    ) -> Option<Result<Vec<Bytes>, MessageError>> {
+        if path != OFFER_PATH {
+            return None;
+        }
+        Some(self.on_offer(stream).await)
+    }
+}
+
+impl<C: Clock> PeerHandler<C> {
+    async fn on_offer(&self, stream: &mut RecvStream) -> Result<Vec<Bytes>, MessageError> {
+        let Shared { clock, timers, memory, owner, active, .. } = &*self.0;
+        let limits = BodyLimits::new(memory.max_body_bytes(), memory.clone(), Holder::OfferBodies);
+        let started = clock.now();
+        let read = frame::read::<Offer>(stream, &limits);
+        let read = timers.within(started + MAX_OFFER_READ_TIME, read).await;
+        let (mut offer, body) = read.unwrap_or(Err(MessageError::Broken))?;
+        offer.body = body;
+        // A long body takes time that the request no longer has.
+        let read_time = clock.now().saturating_duration_since(started);
+        offer.remaining = offer.remaining.saturating_sub(read_time);
+        let _active = crate::node::accept::CountGuard::new(active);
+        let reply = owner.offer(&offer).await;
+        Ok(frame::encode(&reply, reply.body()))
+    }
 }
 
 impl<C: Clock> ControlHandler for PeerHandler<C> {
     async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
         match path {
-            OFFER_PATH => {
-                let offer: Offer = codec::decode(&body).ok()?;
-                let _active = crate::node::accept::CountGuard::new(&self.0.active);
-                Some(codec::encode(&self.0.owner.offer(&offer).await))
-            }
             CHANGES_PATH => {
                 let request: ChangeRequest = codec::decode(&body).ok()?;
                 let Shared { change_feed, clock, timers, .. } = &*self.0;
@@ -310,6 +351,8 @@
             task::spawn(control.clone().serve(listener, stop.clone()));
         }
         let ingress = TcpListener::bind(listen.ingress).await?;
+        // Accepted sockets inherit it.
+        SockRef::from(&ingress).set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)?;
         task::spawn(Arc::new(Ingress::new(shared.clone())).serve(ingress, stop.clone()));
         task::spawn(StoreWatcher::new(shared.clone()).run());
         if let Some(exposure) = shared.exposure() {
@@ -373,11 +416,13 @@
     };
     let min_health_check_interval =
         1.0 / (terms.probes_per_second * HEALTH_CHECK_FRACTION).max(0.1);
+    let memory_bytes = settings.node.memory_mb as usize * BYTES_PER_MB;
+    let memory = Arc::new(MemoryAccount::new(memory_bytes, settings.node.descriptors as usize));
     let owner_cfg = OwnerConfig {
         node: settings.node.name.clone(),
         zone: settings.node.zone.clone(),
         min_health_check_interval: Duration::from_secs_f64(min_health_check_interval),
-        max_response_body_bytes: MAX_RESPONSE_BYTES,
+        response_limits: response_limits(&memory),
     };
     let deployment = Arc::new(Mutex::new(DeploymentState::new(budget, clock.now())));
     let metrics = Arc::new(Metrics::default());
@@ -404,6 +449,7 @@
         ),
         store: Store::new(settings.store.address, clock.clone(), metrics.clone()),
         change_feed: ChangeFeed::default(),
+        memory,
         metrics,
         stop_schedule: OnceLock::new(),
         refusing: AtomicBool::new(false),
@@ -422,6 +468,11 @@
     }
 }
 
+/// Returns the limits of the body of a response from an upstream or another node.
+pub fn response_limits(memory: &Arc<MemoryAccount>) -> BodyLimits {
+    BodyLimits::new(MAX_RESPONSE_BYTES, memory.clone(), Holder::Responses)
+}
+
 /// Drops expired members and updates the metrics on the deployment.
 async fn expire<C: Clock>(shared: Arc<Shared<C>>) {
     loop {
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,23 +3,50 @@
 //! Input after a message stays in the buffer, so that bytes that belong to no message are detected.
 //! A body is read completely before it is passed on.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use async_std::net::TcpStream;
+use bytes::Bytes;
 use futures_util::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use oleandertiller_mesh::memory_budget::Activity;
 use serde::{Deserialize, Serialize};
 
+use super::{
+    body::{Body, BodyBuilder, BodyLimits},
+    memory::{ClientEntry, ClientGuard},
+};
 use crate::node::inner::configure_socket;
 
 /// Maximum number of headers of a message; one with more is rejected.
 const MAX_HEADERS: usize = 96;
 
-/// Size of the buffer for one read, in bytes.
-const READ_BUFFER_BYTES: usize = 8 << 10;
+/// Size of the input buffer of an idle connection, in bytes. A head of usual size fits; thousands of
+/// connections may be idle.
+const IDLE_INPUT_BYTES: usize = 2 << 10;
+
+/// Size of the input buffer while a chunked body is read, in bytes, so that small chunks take few
+/// system calls.
+const CHUNKED_INPUT_BYTES: usize = 8 << 10;
+
+/// Number of bytes from which a part of a body is read past the input buffer.
+const MIN_DIRECT_READ_BYTES: usize = 1 << 10;
+
+/// Times that the account counts a large input buffer: the head in it is copied when it is parsed,
+/// and once more for the upstream.
+const HEAD_COPIES: usize = 3;
+
+/// Capacity for an encoded head of usual size, in bytes.
+const HEAD_CAPACITY: usize = 512;
+
+/// Longest body that is copied behind its head, in bytes, so that both take one system call.
+const MAX_INLINE_BODY_BYTES: usize = 8 << 10;
 
 /// Maximum input that is buffered while waiting for the close of the connection, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 
+/// Maximum input that is read and discarded before a close, in bytes.
+const MAX_DISCARDED_BYTES: usize = 256 << 10;
+
 /// Maximum length of the line with a chunk's size, in bytes; it may have extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
@@ -56,11 +83,16 @@
     HeadTooLarge,
     /// The body is over its limit.
     BodyTooLarge,
+    /// The account has no memory for the message.
+    NoMemory,
 }
 
 impl From<io::Error> for HttpError {
-    fn from(_: io::Error) -> Self {
-        Self::Broken
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::OutOfMemory => Self::NoMemory,
+            _ => Self::Broken,
+        }
     }
 }
 
@@ -167,9 +199,11 @@
 /// A connection that carries one message after the other.
 pub struct HttpConn {
     stream: TcpStream,
-    read_buf: Box<[u8]>,
-    buf: Vec<u8>,
-    consumed: usize,
+    /// Buffer for input; the bytes from `start` to `end` have not been consumed.
+    input: Vec<u8>,
+    start: usize,
+    end: usize,
+    client: Option<ClientGuard>,
 }
 
 impl HttpConn {
@@ -180,8 +214,25 @@
     /// Returns the system's error when its options cannot be set.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         configure_socket(&stream)?;
-        let read_buf = vec![0; READ_BUFFER_BYTES].into();
-        Ok(Self { stream, read_buf, buf: Vec::new(), consumed: 0 })
+        Ok(Self { stream, input: Vec::new(), start: 0, end: 0, client: None })
+    }
+
+    /// Sets the registration of a client connection, whose buffers are in the memory account.
+    pub fn with_client(mut self, client: ClientGuard) -> Self {
+        self.client = Some(client);
+        self
+    }
+
+    /// Returns the entry of a client connection.
+    pub fn client(&self) -> Option<&Arc<ClientEntry>> {
+        self.client.as_ref().map(ClientGuard::entry)
+    }
+
+    /// Records what a client connection does from now on.
+    pub fn set_activity(&self, activity: Activity) {
+        if let Some(client) = self.client() {
+            client.on_progress(activity, 0);
+        }
     }
 
     /// Opens a connection.
@@ -195,12 +246,12 @@
 
     /// Returns whether an idle connection is open and has no input.
     pub fn is_idle_and_open(&self) -> bool {
-        self.consumed == self.buf.len() && self.stream.peek(&mut [0]).now_or_never().is_none()
+        !self.has_input() && self.stream.peek(&mut [0]).now_or_never().is_none()
     }
 
     /// Returns whether the buffer holds bytes after the last message that was read.
     pub fn has_input(&self) -> bool {
-        self.consumed < self.buf.len()
+        self.start < self.end
     }
 
     /// Waits until there is input; returns `false` at the end of the connection.
@@ -209,15 +260,32 @@
     ///
     /// Returns the system's error when the connection is broken.
     pub async fn wait_for_input(&mut self) -> io::Result<bool> {
+        self.shrink_input();
         Ok(self.has_input() || self.fill().await? > 0)
     }
 
     /// Waits until the peer has closed the connection or it has broken. Input is buffered
     /// meanwhile; once the buffer is full, the wait never ends.
     pub async fn wait_for_close(&mut self) {
-        while self.buf.len() - self.consumed < MAX_READ_AHEAD_BYTES {
-            if !matches!(self.fill().await, Ok(1..)) {
-                return;
+        while self.end - self.start < MAX_READ_AHEAD_BYTES {
+            match self.fill().await {
+                Ok(1..) => {}
+                Err(error) if error.kind() == io::ErrorKind::OutOfMemory => break,
+                _ => return,
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads and discards a limited amount of input until the peer has closed the connection. Beyond
+    /// that amount, the wait never ends.
+    pub async fn discard_until_close(&mut self) {
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            self.start = self.end;
+            match self.fill().await {
+                Ok(read @ 1..) => discarded += read,
+                _ => return,
             }
         }
         std::future::pending::<()>().await;
@@ -230,8 +298,8 @@
     /// Returns [`HttpError`] if there is no valid one.
     pub async fn read_request(&mut self, max: usize) -> Result<RequestHead, HttpError> {
         loop {
-            if let Some((head, len)) = parse_request(&self.buf[self.consumed..])? {
-                self.consumed += len;
+            if let Some((head, len)) = parse_request(&self.input[self.start..self.end])? {
+                self.start += len;
                 return if len > max { Err(HttpError::HeadTooLarge) } else { Ok(head) };
             }
             self.read_more_head(max).await?;
@@ -247,9 +315,9 @@
     pub async fn read_response(&mut self, max: usize) -> Result<ResponseHead, HttpError> {
         let mut interim_responses = 0;
         loop {
-            match parse_response(&self.buf[self.consumed..])? {
+            match parse_response(&self.input[self.start..self.end])? {
                 Some((head, len)) => {
-                    self.consumed += len;
+                    self.start += len;
                     if !(100..200).contains(&head.status) {
                         return Ok(head);
                     }
@@ -265,56 +333,77 @@
 
     async fn read_more_head(&mut self, max: usize) -> Result<(), HttpError> {
         let started = self.has_input();
-        if self.buf.len() - self.consumed > max {
+        if self.end - self.start > max {
             return Err(HttpError::HeadTooLarge);
         }
         match self.fill().await {
             Ok(1..) => Ok(()),
             Ok(0) if !started => Err(HttpError::Closed),
-            _ => Err(HttpError::Broken),
+            Err(error) => Err(error.into()),
+            Ok(0) => Err(HttpError::Broken),
         }
     }
 
-    /// Reads a complete body of at most `max` bytes.
+    /// Reads a complete body of at most `max` bytes, outside of the memory account.
     ///
     /// # Errors
     ///
     /// Returns [`HttpError`] if the body is incomplete, malformed or too large.
     pub async fn read_body(&mut self, framing: Framing, max: usize) -> Result<Vec<u8>, HttpError> {
+        let limits = BodyLimits::unaccounted(max);
+        Ok(self.read_limited_body(framing, &limits).await?.to_vec())
+    }
+
+    /// Reads a complete body within limits.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError`] if the body is incomplete, malformed or too large, or if there was no
+    /// memory for it.
+    pub async fn read_limited_body(
+        &mut self,
+        framing: Framing,
+        limits: &BodyLimits,
+    ) -> Result<Body, HttpError> {
         match framing {
-            Framing::Length(len) if len > max as u64 => Err(HttpError::BodyTooLarge),
-            Framing::Length(len) => self.read_exact(len as usize).await,
-            Framing::Chunked => self.read_chunks(max).await,
-            Framing::UntilClose => {
-                while self.fill().await? > 0 {
-                    if self.buf.len() - self.consumed > max {
-                        return Err(HttpError::BodyTooLarge);
-                    }
-                }
-                let rest = self.buf.len() - self.consumed;
-                self.read_exact(rest).await
+            Framing::Length(0) => Ok(Body::default()),
+            Framing::Length(len) if len > limits.max() as u64 => Err(HttpError::BodyTooLarge),
+            Framing::Length(len) => {
+                let mut body = BodyBuilder::new(limits, len as usize);
+                self.read_exact_into(&mut body, len as usize).await?;
+                Ok(body.finish())
             }
+            Framing::Chunked => self.read_chunks(limits).await,
+            Framing::UntilClose => self.read_until_close(limits).await,
         }
     }
 
-    async fn read_chunks(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
-        let mut body = Vec::new();
+    async fn read_until_close(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
+        let mut body = BodyBuilder::new(limits, 0);
         loop {
-            let line = self.read_line(MAX_CHUNK_LINE_BYTES).await?;
-            let size = line.split(|b| *b == b';').next().unwrap_or_default();
-            let size = std::str::from_utf8(size).map_err(|_| HttpError::Malformed)?.trim();
-            if size.is_empty() || !size.bytes().all(|b| b.is_ascii_hexdigit()) {
-                return Err(HttpError::Malformed);
+            let left = limits.max() - body.len();
+            if left == 0 && (self.has_input() || self.fill().await? > 0) {
+                return Err(HttpError::BodyTooLarge);
+            }
+            if left == 0 || self.read_some_into(&mut body, left).await? == 0 {
+                return Ok(body.finish());
             }
-            let size = usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)?;
-            if size > max - body.len() {
+        }
+    }
+
+    async fn read_chunks(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
+        self.grow_input(CHUNKED_INPUT_BYTES)?;
+        let mut body = BodyBuilder::new(limits, 0);
+        loop {
+            let size = self.read_chunk_size().await?;
+            if size > limits.max() - body.len() {
                 return Err(HttpError::BodyTooLarge);
             }
             if size == 0 {
                 break;
             }
-            body.extend_from_slice(&self.read_exact(size).await?);
-            if self.read_exact(2).await? != b"\r\n" {
+            self.read_exact_into(&mut body, size).await?;
+            if !self.read_line(0).await?.is_empty() {
                 return Err(HttpError::Malformed);
             }
         }
@@ -322,7 +411,7 @@
         loop {
             let line = self.read_line(MAX_TRAILER_BYTES).await?;
             if line.is_empty() {
-                return Ok(body);
+                return Ok(body.finish());
             }
             trailer_bytes += line.len();
             if trailer_bytes > MAX_TRAILER_BYTES {
@@ -331,16 +420,26 @@
         }
     }
 
-    /// Reads a line and returns it without its line end.
+    async fn read_chunk_size(&mut self) -> Result<usize, HttpError> {
+        let line = self.read_line(MAX_CHUNK_LINE_BYTES).await?;
+        let size = line.split(|b| *b == b';').next().unwrap_or_default();
+        let size = std::str::from_utf8(size).map_err(|_| HttpError::Malformed)?.trim();
+        if size.is_empty() || !size.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(HttpError::Malformed);
+        }
+        usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)
+    }
+
+    /// Reads a line of at most about `max` bytes and returns it without its line end.
     async fn read_line(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
         loop {
-            let input = &self.buf[self.consumed..];
+            let input = &self.input[self.start..self.end];
             if let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") {
                 let line = input[..end].to_vec();
-                self.consumed += end + 2;
+                self.start += end + 2;
                 return Ok(line);
             }
-            if input.len() > max {
+            if input.len() > max + 1 {
                 return Err(HttpError::Malformed);
             }
             if self.fill().await? == 0 {
@@ -349,29 +448,90 @@
         }
     }
 
-    async fn read_exact(&mut self, len: usize) -> Result<Vec<u8>, HttpError> {
-        while self.buf.len() - self.consumed < len {
-            if self.fill().await? == 0 {
-                return Err(HttpError::Broken);
+    async fn read_exact_into(
+        &mut self,
+        body: &mut BodyBuilder<'_>,
+        len: usize,
+    ) -> Result<(), HttpError> {
+        let mut left = len;
+        while left > 0 {
+            match self.read_some_into(body, left).await? {
+                0 => return Err(HttpError::Broken),
+                read => left -= read,
             }
         }
-        let bytes = self.buf[self.consumed..self.consumed + len].to_vec();
-        self.consumed += len;
-        Ok(bytes)
+        Ok(())
+    }
+
+    /// Reads up to `max` bytes, past the input buffer if they are many; returns their number, or 0 at
+    /// the end of the connection.
+    async fn read_some_into(
+        &mut self,
+        body: &mut BodyBuilder<'_>,
+        max: usize,
+    ) -> Result<usize, HttpError> {
+        if !self.has_input() && max >= MIN_DIRECT_READ_BYTES {
+            let space = body.space().await?;
+            let count = space.len().min(max);
+            let read = self.stream.read(&mut space[..count]).await?;
+            body.advance(read);
+            return Ok(read);
+        }
+        if !self.has_input() && self.fill().await? == 0 {
+            return Ok(0);
+        }
+        let count = max.min(self.end - self.start);
+        body.append(&self.input[self.start..self.start + count]).await?;
+        self.start += count;
+        Ok(count)
     }
 
-    /// Reads more input; returns the number of bytes, or 0 at the end of the connection.
+    /// Reads more input; returns the number of bytes, or 0 at the end of the connection. May be
+    /// cancelled without loss of input.
     async fn fill(&mut self) -> io::Result<usize> {
-        if self.consumed > 0 {
-            self.buf.drain(..self.consumed);
-            self.consumed = 0;
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+        }
+        if self.end == self.input.len() && self.start > 0 {
+            self.input.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
         }
-        // Callers may cancel the read: input reaches the buffer only when the read has completed.
-        let read = self.stream.read(&mut self.read_buf).await?;
-        self.buf.extend_from_slice(&self.read_buf[..read]);
+        if self.end == self.input.len() {
+            self.grow_input((2 * self.input.len()).max(IDLE_INPUT_BYTES))?;
+        }
+        let read = self.stream.read(&mut self.input[self.end..]).await?;
+        self.end += read;
         Ok(read)
     }
 
+    /// Makes the input buffer at least `size` bytes large.
+    fn grow_input(&mut self, size: usize) -> io::Result<()> {
+        if size <= self.input.len() {
+            return Ok(());
+        }
+        if let Some(client) = &mut self.client
+            && size > IDLE_INPUT_BYTES
+            && !client.try_resize(HEAD_COPIES * size)
+        {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        self.input.reserve_exact(size - self.input.len());
+        self.input.resize(size, 0);
+        Ok(())
+    }
+
+    /// Returns the memory of a large input buffer that is empty.
+    fn shrink_input(&mut self) {
+        if self.has_input() || self.input.len() <= IDLE_INPUT_BYTES {
+            return;
+        }
+        self.input = Vec::new();
+        (self.start, self.end) = (0, 0);
+        if let Some(client) = &mut self.client {
+            client.try_resize(0);
+        }
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
@@ -381,6 +541,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes a message that is in two parts, as [`join_small_body`] returns them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the connection is broken.
+    pub async fn write_message(&mut self, head: &[u8], body: &[Bytes]) -> io::Result<()> {
+        write_message(&mut self.stream, head, body).await
+    }
+
     /// Returns another handle to the socket, for writing while a response is read.
     pub fn writer(&self) -> TcpStream {
         self.stream.clone()
@@ -393,25 +562,72 @@
     }
 }
 
+/// Writes the parts of a message.
+///
+/// # Errors
+///
+/// Returns the system's error when the connection is broken.
+pub async fn write_message(stream: &mut TcpStream, head: &[u8], body: &[Bytes]) -> io::Result<()> {
+    stream.write_all(head).await?;
+    for chunk in body {
+        stream.write_all(chunk).await?;
+    }
+    Ok(())
+}
+
+/// Appends a small body to its encoded head; returns what is to be written after the head.
+pub fn join_small_body<'a>(head: &mut Vec<u8>, body: &'a Body) -> &'a [Bytes] {
+    if body.len() > MAX_INLINE_BODY_BYTES {
+        return body.chunks();
+    }
+    for chunk in body.chunks() {
+        head.extend_from_slice(chunk);
+    }
+    &[]
+}
+
 /// Encodes a request with its body.
 pub fn encode_request(method: &str, target: &str, headers: &Headers, body: &[u8]) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(512 + body.len());
+    let mut buf = encode_request_head(method, target, headers, body.len());
+    buf.extend_from_slice(body);
+    buf
+}
+
+/// Encodes the head of a request with a body of `body_len` bytes.
+pub fn encode_request_head(
+    method: &str,
+    target: &str,
+    headers: &Headers,
+    body_len: usize,
+) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(HEAD_CAPACITY + body_len.min(MAX_INLINE_BODY_BYTES));
     buf.extend_from_slice(method.as_bytes());
     buf.push(b' ');
     buf.extend_from_slice(target.as_bytes());
     buf.extend_from_slice(b" HTTP/1.1\r\n");
     headers.encode_to(&mut buf);
-    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE") {
-        buf.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    if body_len > 0 || !matches!(method, "GET" | "HEAD" | "DELETE") {
+        buf.extend_from_slice(format!("Content-Length: {body_len}\r\n").as_bytes());
     }
     buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(body);
     buf
 }
 
 /// Encodes a response with its body.
 pub fn encode_response(status: u16, headers: &Headers, body: &[u8], close: bool) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(512 + body.len());
+    let mut buf = encode_response_head(status, headers, body.len(), close);
+    buf.extend_from_slice(body);
+    buf
+}
+
+/// Encodes the head of a response with a body of `body_len` bytes.
+pub fn encode_response_head(
+    status: u16,
+    headers: &Headers,
+    body_len: usize,
+    close: bool,
+) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(HEAD_CAPACITY + body_len.min(MAX_INLINE_BODY_BYTES));
     let reason = http::StatusCode::from_u16(status).ok().and_then(|code| code.canonical_reason());
     buf.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason.unwrap_or("-")).as_bytes());
     headers.encode_to(&mut buf);
@@ -419,10 +635,9 @@
         buf.extend_from_slice(b"Connection: close\r\n");
     }
     if !matches!(status, 204 | 304) {
-        buf.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        buf.extend_from_slice(format!("Content-Length: {body_len}\r\n").as_bytes());
     }
     buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(body);
     buf
 }
 
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -16,6 +16,7 @@
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
     config::{ClientLimits, Config},
+    memory_budget::{Activity, Holder},
     retry_after::retry_after,
 };
 use oleandertiller_model::{Clock, ErrorKind};
@@ -26,10 +27,14 @@
     request::{ClientRequest, Refusal},
 };
 use super::{
+    body::{Body, BodyLimits},
     control::has_input,
     daemon::Shared,
     deployment_state::time_left,
-    http::{Headers, HttpConn, HttpError, RequestHead, encode_response, request_framing},
+    http::{
+        Headers, HttpConn, HttpError, RequestHead, encode_response, encode_response_head,
+        join_small_body, request_framing,
+    },
     message::Response,
     metrics::Decision,
 };
@@ -43,10 +48,6 @@
     idle_time: Duration::from_secs(15),
 };
 
-/// Largest request body, in bytes, even if operators allow more: messages between nodes are limited
-/// in size.
-const MAX_BODY_BYTES: usize = 1 << 20;
-
 /// Time beyond the idle limit for which a connection stays open, so that a request that a client
 /// sends within the limit does not race with the close.
 const IDLE_GRACE: Duration = Duration::from_secs(2);
@@ -88,8 +89,12 @@
     }
 
     async fn serve_connection(self: Arc<Self>, stream: TcpStream, stop: Receiver<()>) {
+        let Some(client) = self.shared.memory.admit_client(&stream) else {
+            self.shared.metrics.count_decision(Decision::Refuse, "no-room-for-connection");
+            return;
+        };
         let mut conn = match HttpConn::new(stream) {
-            Ok(conn) => conn,
+            Ok(conn) => conn.with_client(client),
             Err(error) => {
                 log::info!(error:% = error; "cannot set up client connection");
                 return;
@@ -102,13 +107,23 @@
                 AfterRequest::Linger => {
                     conn.shutdown_write();
                     let until = self.shared.clock.now() + LINGER_TIMEOUT;
-                    self.shared.timers.within(until, conn.wait_for_close()).await;
+                    self.shared.timers.within(until, conn.discard_until_close()).await;
                     return;
                 }
             }
         }
     }
 
+    fn body_limits(&self, conn: &HttpConn, max: usize) -> BodyLimits {
+        let memory = &self.shared.memory;
+        let max = max.min(memory.max_body_bytes());
+        let limits = BodyLimits::new(max, memory.clone(), Holder::RequestBodies);
+        match conn.client() {
+            Some(client) => limits.with_client(client.clone()),
+            None => limits,
+        }
+    }
+
     fn limits(&self) -> ClientLimits {
         self.shared.config().map_or(DEFAULT_LIMITS, |cfg| cfg.limits)
     }
@@ -116,12 +131,14 @@
     async fn serve_next(&self, conn: &mut HttpConn, stop: &Receiver<()>) -> AfterRequest {
         let Shared { clock, timers, .. } = &*self.shared;
         let limits = self.limits();
+        conn.set_activity(Activity::Idle);
         let idle_deadline = clock.now() + limits.idle_time + IDLE_GRACE;
         if !timers.within(idle_deadline, has_input(conn, stop)).await.unwrap_or(false) {
             return AfterRequest::Close;
         }
         let _active = CountGuard::new(&self.shared.active);
         let arrived = clock.now();
+        conn.set_activity(Activity::Reading);
         let head = conn.read_request(limits.head_bytes);
         let head = match timers.within(arrived + limits.head_time, head).await {
             Some(Ok(head)) => head,
@@ -129,10 +146,14 @@
             Some(Err(HttpError::HeadTooLarge)) => {
                 return self.refuse_unread(conn, ErrorKind::HeadTooLarge).await;
             }
+            Some(Err(HttpError::NoMemory)) => {
+                return self.refuse_unread(conn, ErrorKind::Overloaded).await;
+            }
             Some(Err(_)) => return self.refuse_unread(conn, ErrorKind::BadRequest).await,
             None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
         };
-        self.serve_request(conn, head, limits, arrived).await
+        // On the heap, so that an idle connection's task is small.
+        Box::pin(self.serve_request(conn, head, limits, arrived)).await
     }
 
     async fn serve_request(
@@ -151,12 +172,12 @@
         {
             return AfterRequest::Close;
         }
-        let max_body_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
+        let body_limits = self.body_limits(conn, limits.body_bytes);
         let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
         let body_deadline =
             arrived + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
-        let body = match timers.within(body_deadline, conn.read_body(framing, max_body_bytes)).await
-        {
+        let body = conn.read_limited_body(framing, &body_limits);
+        let body = match timers.within(body_deadline, body).await {
             Some(Ok(body)) => body,
             Some(Err(HttpError::BodyTooLarge)) => {
                 return self.refuse_unread(conn, ErrorKind::BodyTooLarge).await;
@@ -164,9 +185,13 @@
             Some(Err(HttpError::Malformed)) => {
                 return self.refuse_unread(conn, ErrorKind::BadRequest).await;
             }
+            Some(Err(HttpError::NoMemory)) => {
+                return self.refuse_unread(conn, ErrorKind::Overloaded).await;
+            }
             Some(Err(_)) => return AfterRequest::Close,
             None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
         };
+        conn.set_activity(Activity::Serving);
         if self.shared.refusing.load(Ordering::SeqCst) {
             return self.refuse_unread(conn, ErrorKind::Draining).await;
         }
@@ -198,8 +223,9 @@
             }
         };
         let close = close || self.shared.is_stopping();
-        let bytes = self.encode_outcome(id.as_deref(), outcome, arrived, close);
-        let written = timers.within(clock.now() + WRITE_TIMEOUT, conn.write(&bytes)).await;
+        let (head, body) = self.encode_outcome(id.as_deref(), outcome, arrived, close);
+        let written = conn.write_message(&head, body.chunks());
+        let written = timers.within(clock.now() + WRITE_TIMEOUT, written).await;
         match written {
             Some(Ok(())) if close => AfterRequest::Linger,
             Some(Ok(())) => AfterRequest::KeepAlive,
@@ -262,7 +288,7 @@
         log::info!(why = kind.answer().name; "request refused before it was read completely");
         self.shared.metrics.count_decision(Decision::Refuse, kind.answer().name);
         let outcome = Outcome::refused(kind, REFUSED_EXPECTED_WAIT);
-        let bytes = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
+        let (bytes, _) = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
         match self.shared.timers.within(until, conn.write(&bytes)).await {
             Some(Ok(())) => AfterRequest::Linger,
@@ -276,10 +302,12 @@
         outcome: Outcome,
         arrived: Instant,
         close: bool,
-    ) -> Vec<u8> {
+    ) -> (Vec<u8>, Body) {
         match outcome.result {
             Ok(Response { status, headers, body }) => {
-                encode_response(status, &headers, &body, close)
+                let mut head = encode_response_head(status, &headers, body.len(), close);
+                let is_joined = join_small_body(&mut head, &body).is_empty();
+                (head, if is_joined { Body::default() } else { body })
             }
             Err(failure) => {
                 let mut headers = Headers::default();
@@ -298,7 +326,7 @@
                     let wait = retry_after(failure.expected_wait, remaining, rand::random());
                     headers.set("Retry-After", format!("{:.3}", wait.as_secs_f64()));
                 }
-                encode_response(status, &headers, text.as_bytes(), close)
+                (encode_response(status, &headers, text.as_bytes(), close), Body::default())
             }
         }
     }
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -20,7 +20,7 @@
     placement::{Candidate, shortest_wait, sort_by_cost},
     rollout::AllowedVersions,
 };
-use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
+use oleandertiller_model::{Clock, ErrorKind, NodeName};
 use oleandertiller_platform::header;
 
 use super::{
@@ -29,10 +29,15 @@
     outcome::{Failure, Outcome},
     request::ClientRequest,
 };
-use crate::mesh::{
-    deployment_state::time_left,
-    message::{End, OFFER_PATH, Offer, Reply, Response},
-    metrics::{Decision, Dependency},
+use crate::{
+    mesh::{
+        daemon::response_limits,
+        deployment_state::time_left,
+        frame,
+        message::{End, OFFER_PATH, Offer, Reply, Response},
+        metrics::{Decision, Dependency},
+    },
+    node::inner::MessageError,
 };
 
 /// Maximum number of owners that are offered a request in one round.
@@ -533,10 +538,20 @@
             self.on_reply(&reply, offer, record, sent);
             return Ok(reply);
         }
-        let message = codec::encode(offer);
-        let reply_bytes = shared.client.request(record.inner, OFFER_PATH, message, deadline).await;
+        let parts = frame::encode(offer, &offer.body);
+        let read = |mut stream| async move {
+            match frame::read::<Reply>(&mut stream, &response_limits(&shared.memory)).await {
+                Ok((mut reply, body)) => {
+                    reply.set_body(body);
+                    Ok(Ok(reply))
+                }
+                Err(MessageError::Malformed) => Ok(Err(MessageError::Malformed)),
+                Err(error) => Err(error),
+            }
+        };
+        let decoded =
+            shared.client.exchange_parts(record.inner, OFFER_PATH, parts, deadline, read).await;
         let now = shared.clock.now();
-        let decoded = reply_bytes.map(|bytes| codec::decode::<Reply>(&bytes));
         let call_outcome = match &decoded {
             Ok(Ok(_)) => "answered",
             Ok(Err(_)) => "unreadable",
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -11,6 +11,7 @@
 
 use super::version_of;
 use crate::mesh::{
+    body::Body,
     http::{Headers, RequestHead},
     owner::Parent,
 };
@@ -39,7 +40,7 @@
     /// Headers for the upstream.
     pub headers: Headers,
     /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// When its first byte arrived.
     pub arrived: Instant,
     /// Time until the client stops waiting, as its deadline header states on arrival.
@@ -71,7 +72,7 @@
     /// Returns the reason if the request is malformed or has no route or service.
     pub fn read(
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
         arrived: Instant,
         cfg: Option<&Config>,
         caller: &ServiceName,
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -13,7 +13,7 @@
 use oleandertiller_platform::header;
 use serde::{Deserialize, Serialize};
 
-use super::{http::Headers, metrics::Decision};
+use super::{body::Body, http::Headers, metrics::Decision};
 
 /// Path of the `h2` requests that offer a request to an owner.
 pub const OFFER_PATH: &str = "/mesh/offer";
@@ -66,8 +66,9 @@
     pub target: String,
     /// Headers for the upstream.
     pub headers: Headers,
-    /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    /// Complete body, without chunked coding; sent behind the encoded message.
+    #[serde(skip)]
+    pub body: Body,
     /// Time until the client stops waiting.
     pub remaining: Duration,
     /// Longest wait in the owner's queue; zero if other owners are to be asked first.
@@ -107,7 +108,8 @@
     /// Returns the fingerprint that a repeated request has as well.
     pub fn fingerprint(&self) -> Fingerprint {
         let caller = self.headers.get(header::CALLER_SERVICE).unwrap_or("");
-        Fingerprint::new(&self.service, caller, &self.method, &self.target, &self.body)
+        let body = self.body.chunks().iter().map(|chunk| &chunk[..]);
+        Fingerprint::new(&self.service, caller, &self.method, &self.target, body)
     }
 }
 
@@ -120,8 +122,9 @@
     pub status: u16,
     /// Headers that the upstream sent.
     pub headers: Headers,
-    /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    /// Complete body, without chunked coding; sent behind the encoded message.
+    #[serde(skip)]
+    pub body: Body,
 }
 
 /// How an offer ended.
@@ -166,3 +169,21 @@
     /// State of the owner after the offer.
     pub state: OwnerState,
 }
+
+impl Reply {
+    /// Returns the body that is sent behind the encoded reply.
+    pub fn body(&self) -> &Body {
+        static NO_BODY: Body = Body::empty();
+        match &self.end {
+            End::Answered(response) => &response.body,
+            _ => &NO_BODY,
+        }
+    }
+
+    /// Sets the body that arrived behind the encoded reply.
+    pub fn set_body(&mut self, body: Body) {
+        if let End::Answered(response) = &mut self.end {
+            response.body = body;
+        }
+    }
+}
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -17,6 +17,8 @@
     registry::Registry,
 };
 
+use super::memory::MemoryAccount;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct RequestLabels {
@@ -46,6 +48,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HolderLabels {
+    holder: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct DependencyLabels {
@@ -128,6 +136,9 @@
     store_era: Gauge,
     rollout_requests: Gauge,
     rollout_allowed_requests: Gauge,
+    memory: Family<HolderLabels, Gauge>,
+    memory_bound: Gauge,
+    client_connections: Gauge,
     routes: Mutex<BTreeSet<String>>,
 }
 
@@ -177,6 +188,19 @@
             "Requests that a bad version may have got by now, where this node leads its rollout",
             rollout_allowed_requests.clone(),
         );
+        let memory = Family::<HolderLabels, Gauge>::default();
+        let (memory_bound, client_connections) = (Gauge::default(), Gauge::default());
+        registry.register("memory_bytes", "Memory in the account, by holder", memory.clone());
+        registry.register(
+            "memory_bound_bytes",
+            "Most memory that the account may hold",
+            memory_bound.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            client_connections.clone(),
+        );
         let routes = Mutex::default();
         Self {
             registry,
@@ -191,6 +215,9 @@
             store_era,
             rollout_requests,
             rollout_allowed_requests,
+            memory,
+            memory_bound,
+            client_connections,
             routes,
         }
     }
@@ -248,6 +275,17 @@
         self.rollout_allowed_requests.set(i64::try_from(allowed).unwrap_or(i64::MAX));
     }
 
+    /// Sets the figures of the memory account.
+    pub fn set_memory(&self, account: &MemoryAccount) {
+        let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        let (holders, bound) = account.figures();
+        for (holder, bytes) in holders {
+            self.memory.get_or_create(&HolderLabels { holder: holder.name() }).set(gauge(bytes));
+        }
+        self.memory_bound.set(gauge(bound));
+        self.client_connections.set(gauge(account.client_count()));
+    }
+
     fn route_label(&self, route: &str) -> String {
         let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if routes.contains(route) {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::HashMap,
     pin::pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::{Duration, Instant},
 };
 
@@ -29,6 +29,7 @@
 use oleandertiller_platform::header::is_nested_id;
 
 use super::{
+    body::BodyLimits,
     deployment_state::DeploymentState,
     http::HttpConn,
     message::{CrashReport, End, Offer, OwnerReport, Reply, ReportRequest},
@@ -86,8 +87,8 @@
     pub zone: ZoneName,
     /// Shortest time between two health checks.
     pub min_health_check_interval: Duration,
-    /// Largest body of an upstream's response, in bytes.
-    pub max_response_body_bytes: usize,
+    /// Limits of the body of an upstream's response.
+    pub response_limits: BodyLimits,
 }
 
 /// Admits requests to the local upstream and runs them on it.
@@ -104,6 +105,8 @@
     /// Notified when the other owners have to learn of a crash.
     pub crash_seen: Event,
     health_conn: async_std::sync::Mutex<Option<HttpConn>>,
+    /// Bytes of the bodies of the requests that the upstream has.
+    sent_bytes: AtomicUsize,
 }
 
 /// Releases the slot of a running request when it is dropped.
@@ -197,6 +200,7 @@
             record_changed,
             crash_seen: Event::new(),
             health_conn,
+            sent_bytes: AtomicUsize::new(0),
         }
     }
 
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -16,7 +17,7 @@
 use super::Owner;
 use crate::mesh::{
     deployment_state::time_left,
-    http::{HttpConn, encode_request},
+    http::{HttpConn, encode_request_head, join_small_body},
     message::{End, Offer, Response},
     metrics::{Decision, Dependency},
     upstream::{Exchange, ExchangeError, PooledConn, exchange},
@@ -29,6 +30,10 @@
 /// refuses it at once.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Most bytes of bodies, in bytes, that the upstream has at once besides a single longer one. It
+/// crashes if the requests that it holds exceed its memory, and its machine may have 160 MB.
+const MAX_SENT_BYTES: usize = 64 << 20;
+
 /// Timeout for connecting to the upstream, which is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -40,6 +45,9 @@
         };
         let started = self.clock.now();
         let slowness = self.lock().queue.slowness();
+        let Some(_sent_bytes) = SentBytes::try_add(&self.sent_bytes, offer.body.len()) else {
+            return End::NotRun { why: ErrorKind::Overloaded, arrived: false };
+        };
         let Some(pooled) = self.take_or_connect(announcement.address, deadline).await else {
             return End::NotRun { why: ErrorKind::ConnectFailed, arrived: false };
         };
@@ -51,11 +59,13 @@
         let mut headers = offer.headers.clone();
         headers.set(header::DEADLINE, remaining.as_millis().max(1).to_string());
         headers.set(header::EXPECTED_UPSTREAM, &*announcement.incarnation.id);
-        let request = encode_request(&offer.method, &offer.target, &headers, &offer.body);
+        let Offer { method, target, body, .. } = offer;
+        let mut head = encode_request_head(method, target, &headers, body.len());
+        let rest = join_small_body(&mut head, body);
         let reused = pooled.reused;
         let run =
             RunGuard { owner: self, offer, version: &announcement.version, started, slowness };
-        let work = exchange(pooled, &request, &offer.id, self.cfg.max_response_body_bytes);
+        let work = exchange(pooled, &head, rest, &offer.id, &self.cfg.response_limits);
         let result = self.timers.within(deadline, work).await;
         let now = self.clock.now();
         let service_time = now.saturating_duration_since(started);
@@ -222,6 +232,25 @@
     }
 }
 
+/// Bytes of a request's body at the upstream, until it is dropped.
+struct SentBytes<'a>(&'a AtomicUsize, usize);
+
+impl<'a> SentBytes<'a> {
+    /// Counts the bytes; returns `None` if the upstream would have too many. A single body is always
+    /// allowed, since the operators set its limit.
+    fn try_add(sum: &'a AtomicUsize, bytes: usize) -> Option<Self> {
+        let before = sum.fetch_add(bytes, Ordering::Relaxed);
+        let guard = Self(sum, bytes);
+        (before == 0 || before + bytes <= MAX_SENT_BYTES).then_some(guard)
+    }
+}
+
+impl Drop for SentBytes<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(self.1, Ordering::Relaxed);
+    }
+}
+
 /// Returns the time that a run would have taken on a machine that is not slow.
 fn normalized(time: Duration, slowness_percent: u32) -> Duration {
     time.mul_f64(100.0 / f64::from(slowness_percent.max(100)))
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -6,15 +6,14 @@
     time::{Duration, Instant},
 };
 
-use futures_util::{
-    AsyncWriteExt,
-    future::{Either, select},
-};
+use bytes::Bytes;
+use futures_util::future::{Either, select};
 use oleandertiller_model::ErrorKind;
 use oleandertiller_platform::header;
 
 use super::{
-    http::{HttpConn, HttpError, ResponseHead, encode_request, response_framing},
+    body::{Body, BodyLimits},
+    http::{HttpConn, HttpError, ResponseHead, encode_request, response_framing, write_message},
     message::Response,
 };
 
@@ -104,7 +103,8 @@
     pub response_started: bool,
 }
 
-/// Writes a request and reads its complete response.
+/// Writes a request, whose body may follow its encoded head in parts, and reads its complete
+/// response.
 ///
 /// A connection is not reused if the response arrives before the request is written completely,
 /// since the upstream may still wait for the rest. Responses with another id belong to earlier
@@ -116,15 +116,16 @@
 /// Returns how the exchange failed; the request may have run.
 pub async fn exchange(
     pooled: PooledConn,
-    request: &[u8],
+    head: &[u8],
+    body: &[Bytes],
     id: &str,
-    max_body_bytes: usize,
+    limits: &BodyLimits,
 ) -> Result<Exchange, ExchangeError> {
     let PooledConn { mut conn, reused } = pooled;
     let mut writer = conn.writer();
     let lost = ExchangeError { why: ErrorKind::ConnectionLost, response_started: false };
-    let write = Box::pin(async move { writer.write_all(request).await });
-    let read = Box::pin(read_response_to(&mut conn, id, reused, max_body_bytes));
+    let write = Box::pin(async move { write_message(&mut writer, head, body).await });
+    let read = Box::pin(read_response_to(&mut conn, id, reused, limits));
     let (result, written) = match select(write, read).await {
         Either::Left((Ok(()), read)) => (read.await, true),
         // A response that the upstream sent before it stopped reading still counts.
@@ -158,8 +159,8 @@
     conn: &mut HttpConn,
     id: &str,
     reused: bool,
-    max_body_bytes: usize,
-) -> Result<(ResponseHead, Vec<u8>), ExchangeError> {
+    limits: &BodyLimits,
+) -> Result<(ResponseHead, Body), ExchangeError> {
     for _ in 0..MAX_RESPONSES_READ {
         let head = conn
             .read_response(MAX_HEAD_BYTES)
@@ -168,7 +169,7 @@
         let framing = response_framing(head.status, &head.headers);
         let framing = framing.map_err(|error| exchange_error(error, true))?;
         let body = conn
-            .read_body(framing, max_body_bytes)
+            .read_limited_body(framing, limits)
             .await
             .map_err(|error| exchange_error(error, true))?;
         match head.headers.get(header::REQUEST_ID) {
--- a/src/node/inner.rs
+++ b/src/node/inner.rs
@@ -56,6 +56,16 @@
 
     /// Answers a control message; returns `None` when the path does not exist.
     fn control(&self, path: &str, body: Bytes) -> impl Future<Output = Option<Vec<u8>>> + Send;
+
+    /// Answers a message that it reads itself, in parts, at least one; returns `None`, without
+    /// reading, when messages on the path are to be read completely first.
+    fn stream(
+        &self,
+        _path: &str,
+        _stream: &mut RecvStream,
+    ) -> impl Future<Output = Option<Result<Vec<Bytes>, MessageError>>> + Send {
+        async { None }
+    }
 }
 
 /// The part of [`InnerHandler`] that control services implement.
--- a/src/node/inner/client.rs
+++ b/src/node/inner/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    future::Future,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::{Duration, Instant},
@@ -10,7 +11,7 @@
 use async_std::{future::timeout, net::TcpStream, task};
 use bytes::Bytes;
 use h2::{
-    Reason,
+    Reason, RecvStream,
     client::{Builder, SendRequest},
 };
 use http::{Method, Request, Uri, uri::PathAndQuery};
@@ -22,8 +23,8 @@
 
 use super::{
     CONNECTION_WINDOW_BYTES, MAX_CONTROL_MESSAGE_BYTES, MAX_FRAME_BYTES, MAX_HEADER_LIST_BYTES,
-    MAX_RESET_STREAMS, MAX_STREAMS, STREAM_WINDOW_BYTES, configure_socket, decode_frame,
-    encode_frame, h2_io, read_message,
+    MAX_RESET_STREAMS, MAX_STREAMS, MessageError, STREAM_WINDOW_BYTES, configure_socket,
+    decode_frame, encode_frame, h2_io, read_message,
 };
 use crate::node::{config::PeerRoutes, timer::Timers};
 
@@ -194,6 +195,35 @@
         })
     }
 
+    /// Sends a message in parts and reads its answer with `read`, until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt ended when no answer arrived.
+    pub async fn exchange_parts<T, R: Future<Output = Result<T, MessageError>>>(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+        parts: Vec<Bytes>,
+        deadline: Instant,
+        read: impl FnOnce(RecvStream) -> R,
+    ) -> Result<T, Outcome> {
+        let until = deadline.min(self.clock.now() + self.connect_timeout);
+        let peer = self.peer(address);
+        let conn = self.timers.within(until, self.connection(&peer, address)).await.flatten();
+        let PeerConnection { id, sender } =
+            conn.ok_or(Outcome::NotRun(ErrorKind::ConnectFailed))?;
+        let work = async {
+            let answer = send_parts(sender, uri(path), parts).await?;
+            read(answer).await.map_err(|_| Outcome::Unknown(ErrorKind::ConnectionLost))
+        };
+        let answer = self.timers.within(deadline + DEADLINE_GRACE, work).await;
+        answer.unwrap_or_else(|| {
+            peer.forget(id);
+            Err(Outcome::Unknown(ErrorKind::UpstreamTimeout))
+        })
+    }
+
     /// Closes all connections as soon as the calls on them have ended.
     pub fn disconnect(&self) {
         self.peers.write().unwrap_or_else(PoisonError::into_inner).clear();
@@ -271,12 +301,24 @@
 }
 
 async fn send(
-    mut sender: Sender,
+    sender: Sender,
     uri: Uri,
     frame: Bytes,
     rest: Bytes,
     body_max: usize,
 ) -> Result<Bytes, Outcome> {
+    let parts = if rest.is_empty() { vec![frame] } else { vec![frame, rest] };
+    let mut body = send_parts(sender, uri, parts).await?;
+    let message = read_message(&mut body, body_max).await;
+    message.map_err(|_| Outcome::Unknown(ErrorKind::ConnectionLost))
+}
+
+/// Sends the parts of a message, at least one; returns the body of its answer.
+async fn send_parts(
+    mut sender: Sender,
+    uri: Uri,
+    parts: Vec<Bytes>,
+) -> Result<RecvStream, Outcome> {
     let mut request = Request::new(());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = uri;
@@ -284,16 +326,17 @@
     let not_sent = |_| Outcome::NotRun(ErrorKind::ConnectFailed);
     let (response, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
     // A stream that the peer has already reset accepts no data; the response then gives the reason.
-    if stream.send_data(frame, rest.is_empty()).is_ok() && !rest.is_empty() {
-        let _ = stream.send_data(rest, true);
+    let last = parts.len().saturating_sub(1);
+    for (index, part) in parts.into_iter().enumerate() {
+        if stream.send_data(part, index == last).is_err() {
+            break;
+        }
     }
     let response = response.await.map_err(|error| outcome_of(&error))?;
     if response.status() != http::StatusCode::OK {
         return Err(Outcome::Unknown(ErrorKind::PeerProtocol));
     }
-    let mut body = response.into_body();
-    let message = read_message(&mut body, body_max).await;
-    message.map_err(|_| Outcome::Unknown(ErrorKind::ConnectionLost))
+    Ok(response.into_body())
 }
 
 /// Returns the outcome of an attempt whose stream failed before its answer.
--- a/src/node/inner/server.rs
+++ b/src/node/inner/server.rs
@@ -103,14 +103,17 @@
             }
         };
         match result {
-            Ok((frame, rest)) => send(&mut respond, frame, rest),
+            Ok(parts) => send(&mut respond, parts),
             Err(reason) => respond.send_reset(reason),
         }
     }
 
-    async fn answer(&self, request: Request<RecvStream>) -> Result<(Bytes, Bytes), Reason> {
+    async fn answer(&self, request: Request<RecvStream>) -> Result<Vec<Bytes>, Reason> {
         let (parts, mut stream) = request.into_parts();
         let path = parts.uri.path();
+        if let Some(answer) = self.handler.stream(path, &mut stream).await {
+            return answer.map_err(reset_reason);
+        }
         let max = if path == CALL_PATH { self.body_max } else { MAX_CONTROL_MESSAGE_BYTES };
         let message = read_message(&mut stream, max);
         let message = timeout(MESSAGE_TIMEOUT, message).await.map_err(|_| Reason::CANCEL)?;
@@ -119,15 +122,15 @@
             return self.call(message).await;
         }
         let answer = self.handler.control(path, message).await;
-        answer.map(|answer| (answer.into(), Bytes::new())).ok_or(Reason::REFUSED_STREAM)
+        answer.map(|answer| vec![answer.into()]).ok_or(Reason::REFUSED_STREAM)
     }
 
-    async fn call(&self, message: Bytes) -> Result<(Bytes, Bytes), Reason> {
+    async fn call(&self, message: Bytes) -> Result<Vec<Bytes>, Reason> {
         let (head, body) = decode_frame(message).map_err(reset_reason)?;
         let answer = self.handler.call(head, body).await;
         let (reply, body) = answer.ok_or(Reason::REFUSED_STREAM)?;
         let (frame, inline) = encode_frame(&reply, &body);
-        Ok((frame, if inline { Bytes::new() } else { body }))
+        Ok(if inline { vec![frame] } else { vec![frame, body] })
     }
 }
 
@@ -173,11 +176,14 @@
     .ok()
 }
 
-fn send(respond: &mut SendResponse<Bytes>, frame: Bytes, rest: Bytes) {
+fn send(respond: &mut SendResponse<Bytes>, parts: Vec<Bytes>) {
     let mut response = Response::new(());
     *response.status_mut() = StatusCode::OK;
     let Ok(mut stream) = respond.send_response(response, false) else { return };
-    if stream.send_data(frame, rest.is_empty()).is_ok() && !rest.is_empty() {
-        let _ = stream.send_data(rest, true);
+    let last = parts.len().saturating_sub(1);
+    for (index, part) in parts.into_iter().enumerate() {
+        if stream.send_data(part, index == last).is_err() {
+            return;
+        }
     }
 }
--- a/src/settings/guide.rs
+++ b/src/settings/guide.rs
@@ -60,6 +60,21 @@
 process. A key that has no default must be stated.
 ";
 
+const MESH_TAIL: &str = "
+## How the bounds follow from the settings
+
+| bound | value | with 160 MB and 4,100 descriptors |
+|---|---|---|
+| memory account | `memory-mb` less an eighth of it and 24 MB, at least 4 MB | 116 MB |
+| bodies over 16 KB, all together | five sixths of the account | 97 MB |
+| one body | `maxBodyBytes` of the configuration, at most nine tenths of the row above | 67 MB |
+| client connections | three quarters of `descriptors` less 16 | 3,059 |
+
+A megabyte is a million bytes here. The eighth and the 24 MB are for the program itself, the
+allocator and the buffers of the kernel. The other descriptors are for calls to peers, the upstream
+and the store. What happens above a bound is in `docs/OPERATIONS.md`.
+";
+
 /// Returns the page on the settings of nodes as Markdown.
 pub fn page() -> String {
     tables(HEAD, KEYS) + TAIL
@@ -67,7 +82,7 @@
 
 /// Returns the page on the settings of mesh nodes as Markdown.
 pub fn mesh_page() -> String {
-    tables(MESH_HEAD, mesh::KEYS)
+    tables(MESH_HEAD, mesh::KEYS) + MESH_TAIL
 }
 
 /// Returns `head` followed by one table for each section of `keys`.
--- a/tests/cli/mesh_settings.rs
+++ b/tests/cli/mesh_settings.rs
@@ -40,9 +40,12 @@
     let optional: Vec<&str> =
         placeholders().into_iter().filter(|name| !mandatory.contains_key(name)).collect();
     let mut all = mandatory.clone();
-    all.extend(
-        optional.iter().map(|name| (*name, if *name == "limits.memoryMb" { "160" } else { "1" })),
-    );
+    let value = |name: &str| match name {
+        "limits.memoryMb" => "160",
+        "limits.fdLimit" => "4100",
+        _ => "1",
+    };
+    all.extend(optional.iter().map(|name| (*name, value(name))));
     for left_out in &optional {
         let mut values = all.clone();
         values.remove(left_out);
--- a/tests/mesh/http.rs
+++ b/tests/mesh/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 connections: split and pipelined messages, malformed input, cancelled waits.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_std::{
     future::timeout,
@@ -8,10 +8,15 @@
     net::{TcpListener, TcpStream},
     task::block_on,
 };
-use oleandertiller::mesh::http::{
-    Framing, Headers, HttpConn, HttpError, encode_request, encode_response, request_framing,
-    response_framing,
+use oleandertiller::mesh::{
+    body::BodyLimits,
+    http::{
+        Framing, Headers, HttpConn, HttpError, encode_request, encode_response, request_framing,
+        response_framing,
+    },
+    memory::MemoryAccount,
 };
+use oleandertiller_mesh::memory_budget::{Holder, Share};
 use proptest::prelude::*;
 
 const CANCEL_AFTER: Duration = Duration::from_millis(50);
@@ -193,6 +198,71 @@
     }
 }
 
+fn account_of(memory_mb: usize) -> Arc<MemoryAccount> {
+    Arc::new(MemoryAccount::new(memory_mb * 1_000_000, 1_024))
+}
+
+fn held(account: &MemoryAccount) -> usize {
+    account.figures().0.iter().map(|(_, bytes)| bytes).sum()
+}
+
+/// Guards against small chunks that cost more than their bytes, bytes that are lost between chunks,
+/// and memory that stays in the account after the body.
+#[test]
+fn chunk_size_does_not_change_the_cost_of_a_body() {
+    const LEN: usize = 300_000;
+    for size in [1, 7, 1_000, 100_000, LEN] {
+        block_on(async {
+            let account = account_of(160);
+            let limits = BodyLimits::new(LEN, account.clone(), Holder::RequestBodies);
+            let (mut peer, mut conn) = connected_pair().await;
+            let bytes: Vec<u8> = (0..LEN).map(|n| (n % 251) as u8).collect();
+            let mut message = Vec::new();
+            for chunk in bytes.chunks(size) {
+                message.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+                message.extend_from_slice(chunk);
+                message.extend_from_slice(b"\r\n");
+            }
+            message.extend_from_slice(b"0\r\n\r\nNEXT");
+            let writer = async_std::task::spawn(async move {
+                peer.write_all(&message).await.unwrap();
+                peer
+            });
+            let body = conn.read_limited_body(Framing::Chunked, &limits).await.unwrap();
+            let _peer = writer.await;
+            assert!(body.to_vec() == bytes, "chunks of {size}");
+            assert!(conn.wait_for_input().await.unwrap());
+            let capacity = held(&account);
+            assert!((LEN..LEN + (64 << 10)).contains(&capacity), "chunks of {size}: {capacity}");
+            let shared = body.clone();
+            drop(body);
+            assert_eq!(held(&account), capacity);
+            drop(shared);
+            assert_eq!(held(&account), 0);
+        });
+    }
+}
+
+/// Guards against a body that is read although the account has no memory for it, and against one
+/// that waits without end.
+#[test]
+fn body_without_memory_is_refused() {
+    block_on(async {
+        let account = account_of(16);
+        let (_, bound) = account.figures();
+        let full = account.try_reserve(Holder::OfferBodies, Share::Whole, bound).unwrap();
+        let limits = BodyLimits::new(1 << 20, account.clone(), Holder::RequestBodies);
+        let (mut peer, mut conn) = connected_pair().await;
+        peer.write_all(&[b'x'; 100_000]).await.unwrap();
+        let read = conn.read_limited_body(Framing::Length(100_000), &limits);
+        let read = timeout(Duration::from_secs(10), read).await.unwrap();
+        assert_eq!(read, Err(HttpError::NoMemory));
+        drop(full);
+        let read = conn.read_limited_body(Framing::Length(100_000), &limits).await;
+        assert_eq!(read.unwrap().len(), 100_000);
+    });
+}
+
 /// Writes `start` and then `part` over and over, until the peer closes.
 async fn write_without_end(mut peer: TcpStream, start: Vec<u8>, part: &'static [u8]) {
     let block = part.repeat(64);
--- a/tests/mesh/untrusted_clients.rs
+++ b/tests/mesh/untrusted_clients.rs
@@ -17,7 +17,7 @@
 };
 use serde_json::json;
 
-use crate::fleet::{Fleet, call, config};
+use crate::fleet::{Fleet, Member, call, config};
 
 /// Memory that a process may use, in megabytes.
 const MEMORY_MB: u64 = 48;
@@ -84,7 +84,11 @@
 }
 
 fn peak_memory_kb(fleet: &Fleet) -> u64 {
-    let status = fs::read_to_string(fleet.members[0].proc_path("status")).unwrap();
+    peak_memory_kb_of(&fleet.members[0])
+}
+
+fn peak_memory_kb_of(member: &Member) -> u64 {
+    let status = fs::read_to_string(member.proc_path("status")).unwrap();
     let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
     line.trim().trim_end_matches("kB").trim().parse().unwrap()
 }
@@ -178,3 +182,40 @@
         std::iter::once(head(client, framing)).chain(std::iter::repeat_n(block, 256))
     });
 }
+
+/// Guards against a body of the largest size that operators allow that is refused, or that takes more
+/// than the memory of a small machine, at its ingress or at the owner.
+#[test]
+fn largest_body_is_served_through_another_node() {
+    const LARGEST_BODY_BYTES: usize = 64 << 20;
+    const MACHINE_MB: u64 = 160;
+    block_on(async {
+        let mut settings = config(3, None);
+        settings["limits"]["maxBodyBytes"] = json!(LARGEST_BODY_BYTES);
+        settings["listeners"][0]["ruleSet"][1]["action"]["timeoutMs"] = json!(20_000);
+        settings["listeners"][0]["ruleSet"][1]["targetLatencyMs"] = json!(20_000);
+        let memory = format!("memory-mb = {MACHINE_MB}\n");
+        let mut fleet = Fleet::start_limited(2, &memory, &settings).await;
+        let body = vec![b'x'; LARGEST_BODY_BYTES];
+        for id in ["local", "remote"] {
+            if id == "remote" {
+                assert_eq!(fleet.members[0].announce("draining").await, 200);
+            }
+            let ids = [
+                ("Oleandertiller-Attempt-Id", id),
+                ("Oleandertiller-Deadline-Milliseconds", "20000"),
+            ];
+            let ingress = fleet.members[0].ingress;
+            let response = call(ingress, "POST", "/release/1", "shop.example", &ids, &body).await;
+            assert_eq!(response.map(|response| response.status), Some(200), "{id}");
+            let peaks: Vec<u64> = fleet.members.iter().map(peak_memory_kb_of).collect();
+            println!("{id}: {peaks:?} kB at most");
+            assert!(peaks.iter().all(|kb| *kb < MACHINE_MB * 1_000), "{id}: {peaks:?} kB");
+            let runs = fleet.members.iter().flat_map(|member| member.upstream.runs());
+            let lens: Vec<usize> =
+                runs.filter(|run| run.id == id).map(|run| run.body.len()).collect();
+            assert_eq!(lens, [LARGEST_BODY_BYTES], "{id}");
+        }
+        assert_eq!(fleet.members[1].upstream.runs().last().map(|run| &*run.id), Some("remote"));
+    });
+}
--- a/tests/mesh/upstream_responses.rs
+++ b/tests/mesh/upstream_responses.rs
@@ -9,6 +9,7 @@
 };
 use futures_util::AsyncReadExt;
 use oleandertiller::mesh::{
+    body::BodyLimits,
     http::{Headers, HttpConn, encode_request},
     upstream::{Exchange, ExchangeError, PooledConn, exchange},
 };
@@ -35,7 +36,8 @@
     let mut headers = Headers::default();
     headers.set("Host", "x");
     let pooled = PooledConn { conn, reused };
-    exchange(pooled, &encode_request("GET", "/", &headers, &[]), id, 1 << 20).await
+    let limits = BodyLimits::unaccounted(1 << 20);
+    exchange(pooled, &encode_request("GET", "/", &headers, &[]), &[], id, &limits).await
 }
 
 async fn request(conn: HttpConn, id: &str) -> Result<Exchange, ExchangeError> {
@@ -71,7 +73,7 @@
                 assert!(request(conn, "a").await.is_err(), "{:?}", &whole[..cut]);
             }
             let conn = connect_to(vec![whole.clone().into_bytes()]).await;
-            assert_eq!(request(conn, "a").await.unwrap().response.body, b"hello");
+            assert_eq!(request(conn, "a").await.unwrap().response.body.to_vec(), b"hello");
         }
     });
 }
