--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`members`]: which instances exist, also while the store is unavailable.
 //! - [`peer_health`]: what an ingress knows of one owner.
 //! - [`nested_calls`]: which services the requests of a route call.
+//! - [`memory_budget`]: what connections, bodies and responses may hold of the process's memory.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`rank_share`]: the starts that an owner gives to requests of lower priority.
 //! - [`request_limit`]: how many requests an upstream in need gets.
@@ -39,6 +40,7 @@
 pub mod leadership;
 pub mod lease;
 pub mod members;
+pub mod memory_budget;
 pub mod nested_calls;
 pub mod peer_health;
 pub mod placement;
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -22,7 +22,7 @@
     retry_budget::RetryReason,
     upstream_capacity::UpstreamCapacity,
 };
-use oleandertiller_model::{Clock, ErrorKind, NodeName, codec};
+use oleandertiller_model::{Clock, ErrorKind, NodeName};
 use oleandertiller_platform::header;
 
 use super::{
@@ -32,10 +32,15 @@
     ranking::{RankedOwner, RankedOwners},
     request::ClientRequest,
 };
-use crate::mesh::{
-    deployment_state::time_left,
-    message::{End, OFFER_PATH, Offer, Reply, Response},
-    metrics::{Admission, Decision, Dependency},
+use crate::{
+    mesh::{
+        daemon::response_limits,
+        deployment_state::time_left,
+        frame,
+        message::{End, OFFER_PATH, Offer, Reply, Response},
+        metrics::{Admission, Decision, Dependency},
+    },
+    node::inner::MessageError,
 };
 
 /// Maximum number of owners that are offered a request in one round although they are known to have
@@ -550,10 +555,20 @@
             self.on_reply(&reply, offer, record, sent);
             return Ok(reply);
         }
-        let message = codec::encode(offer);
-        let reply_bytes = shared.client.request(record.inner, OFFER_PATH, message, deadline).await;
+        let parts = frame::encode(offer, &offer.body);
+        let read = |mut stream| async move {
+            match frame::read::<Reply>(&mut stream, &response_limits(&shared.memory)).await {
+                Ok((mut reply, body)) => {
+                    reply.set_body(body);
+                    Ok(Ok(reply))
+                }
+                Err(MessageError::Malformed) => Ok(Err(MessageError::Malformed)),
+                Err(error) => Err(error),
+            }
+        };
+        let decoded =
+            shared.client.exchange_parts(record.inner, OFFER_PATH, parts, deadline, read).await;
         let now = shared.clock.now();
-        let decoded = reply_bytes.map(|bytes| codec::decode::<Reply>(&bytes));
         let call_outcome = match &decoded {
             Ok(Ok(_)) => "answered",
             Ok(Err(_)) => "unreadable",
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -14,6 +14,7 @@
 
 use super::{access::check_access, version_of};
 use crate::mesh::{
+    body::Body,
     http::{Headers, RequestHead},
     owner::Parent,
 };
@@ -46,7 +47,7 @@
     /// Headers for the upstream.
     pub headers: Headers,
     /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// When its first byte arrived.
     pub arrived: Instant,
     /// Time until the client stops waiting, as its deadline header states on arrival.
@@ -89,7 +90,7 @@
     /// where one is required.
     pub fn read(
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
         arrived: Instant,
         cfg: Option<&Config>,
         caller: &ServiceName,
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -17,7 +17,7 @@
     registry::Registry,
 };
 
-use super::usage_metrics::UsageMetrics;
+use super::{memory::MemoryAccount, usage_metrics::UsageMetrics};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -57,6 +57,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct HolderLabels {
+    holder: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct DependencyLabels {
@@ -167,6 +173,9 @@
     rollout_allowed_requests: Gauge,
     /// Gauges of the usage reports.
     pub usage: UsageMetrics,
+    memory: Family<HolderLabels, Gauge>,
+    memory_bound: Gauge,
+    client_connections: Gauge,
     routes: Mutex<BTreeSet<String>>,
 }
 
@@ -229,6 +238,19 @@
             rollout_allowed_requests.clone(),
         );
         let usage = UsageMetrics::register(&mut registry);
+        let memory = Family::<HolderLabels, Gauge>::default();
+        let (memory_bound, client_connections) = (Gauge::default(), Gauge::default());
+        registry.register("memory_bytes", "Memory in the account, by holder", memory.clone());
+        registry.register(
+            "memory_bound_bytes",
+            "Most memory that the account may hold",
+            memory_bound.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            client_connections.clone(),
+        );
         let routes = Mutex::default();
         Self {
             registry,
@@ -246,6 +268,9 @@
             rollout_requests,
             rollout_allowed_requests,
             usage,
+            memory,
+            memory_bound,
+            client_connections,
             routes,
         }
     }
@@ -321,6 +346,17 @@
         self.rollout_allowed_requests.set(i64::try_from(allowed).unwrap_or(i64::MAX));
     }
 
+    /// Sets the figures of the memory account.
+    pub fn set_memory(&self, account: &MemoryAccount) {
+        let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        let (holders, bound) = account.figures();
+        for (holder, bytes) in holders {
+            self.memory.get_or_create(&HolderLabels { holder: holder.name() }).set(gauge(bytes));
+        }
+        self.memory_bound.set(gauge(bound));
+        self.client_connections.set(gauge(account.client_count()));
+    }
+
     fn route_label(&self, route: &str) -> String {
         let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if routes.contains(route) {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -14,5 +14,6 @@
 mod soak;
 mod store_restore;
 mod tenants;
+mod untrusted_clients;
 mod upstream_conditions;
 mod upstream_responses;
