Test that invalid status codes of upstreams do not reach clients

Cause: a response with a status outside 200 to 599 is taken for an answer, from an upstream, in a health check and in the reply of another node. Change: tests with real processes; the stand-in upstream can send any status line. They fail on this code.

--- a/crates/standin/src/http/server.rs
+++ b/crates/standin/src/http/server.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// Replaces the status line of a response that has it as an extension, to send what
+/// [`StatusCode`] cannot hold.
+#[derive(Clone, Debug)]
+pub struct StatusLine(pub String);
+
 /// Answers the requests of a [`Server`].
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to a request, or `None` to close the connection without one. If the
@@ -178,7 +183,13 @@
 
 async fn send(stream: &mut TcpStream, res: Response, method: Method) -> io::Result<()> {
     let mut buf = Vec::with_capacity(512);
+    let status_line = res.ext().get::<StatusLine>().cloned();
     Encoder::new(res, method).read_to_end(&mut buf).await?;
+    if let Some(StatusLine(line)) = status_line
+        && let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n")
+    {
+        buf.splice(..end, line.into_bytes());
+    }
     stream.write_all(&buf).await
 }
 
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -15,7 +15,7 @@
 use async_std::task;
 use tide::http::{Response, StatusCode};
 
-use crate::http::{Call, Handler, Server, StopHandle, text};
+use crate::http::{Call, Handler, Server, StatusLine, StopHandle, text};
 
 /// Ratio of the service time of a slow run to the usual one.
 const SLOW_FACTOR: u32 = 6;
@@ -27,6 +27,8 @@
     pub service_time: Duration,
     /// Status code of its responses.
     pub status: u16,
+    /// Status line of its responses, if it is not the one of `status`.
+    pub status_line: Option<String>,
     /// Share of the requests that it answers with status 500.
     pub failure_share: f64,
     /// Share of the requests on which it works several times as long.
@@ -55,6 +57,7 @@
         Self {
             service_time,
             status: 200,
+            status_line: None,
             failure_share: 0.0,
             slow_share: 0.0,
             cold_until: None,
@@ -257,6 +260,9 @@
         let mut res = text(status, format!("{} by {}", id, self.0.id));
         res.insert_header("Oleandertiller-Attempt-Id", id);
         res.insert_header("Oleandertiller-Response-Signature", format!("signed-{}", self.0.id));
+        if let Some(line) = &behaviour.status_line {
+            res.ext_mut().insert(StatusLine(line.clone()));
+        }
         Some(self.with_load(res, &behaviour))
     }
 }
--- a/tests/mesh/upstream_responses.rs
+++ b/tests/mesh/upstream_responses.rs
@@ -1,17 +1,36 @@
 //! Responses of faulty upstreams.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::{
     io::WriteExt,
     net::{TcpListener, TcpStream},
     task::{self, block_on},
 };
+use bytes::Bytes;
 use futures_util::AsyncReadExt;
-use oleandertiller::mesh::{
-    http::{Headers, HttpConn, encode_request},
-    upstream::{Exchange, ExchangeError, PooledConn, exchange},
+use oleandertiller::{
+    mesh::{
+        http::{Headers, HttpConn, encode_request},
+        message::{End, OFFER_PATH, Offer, Reply},
+        upstream::{Exchange, ExchangeError, PooledConn, exchange, request_health},
+    },
+    node::{
+        inner::{InnerHandler, client::InnerClient, server::InnerServer},
+        timer::Timers,
+    },
+};
+use oleandertiller_model::{
+    SystemClock, codec,
+    message::{CallHead, ReplyHead},
 };
+use serde_json::json;
+
+use crate::fleet::Fleet;
 
 /// Opens a connection whose peer answers the first requests with `responses`, one each, and then
 /// closes it.
@@ -102,3 +121,158 @@
         assert_eq!(request(conn, "a").await.unwrap().response.status, 503);
     });
 }
+
+/// Status lines that are no response's: outside 200 to 599, a change of the protocol that nobody asked
+/// for, and malformed ones.
+const INVALID_STATUS_LINES: [&str; 9] = [
+    "HTTP/1.1 000 Nothing",
+    "HTTP/1.1 099 Low",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 600 High",
+    "HTTP/1.1 999 Odd",
+    "HTTP/1.1 20 Short",
+    "HTTP/1.1 2000 Long",
+    "HTTP/1.1 -20 Signed",
+    "ICY 200 OK",
+];
+
+/// Guards against a response with an invalid status that counts as a complete one, of a request and
+/// of a health check.
+#[test]
+fn response_with_an_invalid_status_is_accepted() {
+    block_on(async {
+        let mut accepted = Vec::new();
+        for line in INVALID_STATUS_LINES {
+            let whole =
+                format!("{}Content-Length: 0\r\n\r\n", HEAD.replace("HTTP/1.1 200 OK", line));
+            let conn = connect_to(vec![whole.clone().into_bytes()]).await;
+            if request(conn, "a").await.is_ok() {
+                accepted.push(format!("request: {line}"));
+            }
+            let mut conn = connect_to(vec![whole.into_bytes()]).await;
+            let host = SocketAddr::from(([127, 0, 0, 1], 1));
+            if request_health(&mut conn, "/health", host).await.is_ok() {
+                accepted.push(format!("health check: {line}"));
+            }
+        }
+        assert!(accepted.is_empty(), "{accepted:#?}");
+    });
+}
+
+/// Guards against an invalid status that reaches a client, and against such a run that counts as
+/// ended: an unsafe request is not repeated, a safe one is served by another upstream.
+#[test]
+fn invalid_status_of_an_upstream_reaches_the_client() {
+    block_on(async {
+        let fleet = Fleet::start(2).await;
+        let mut wrong = Vec::new();
+        for status in ["000", "099", "600", "999"] {
+            let line = format!("HTTP/1.1 {status} Odd");
+            for member in &fleet.members {
+                member.upstream.change(|behaviour| behaviour.status_line = Some(line.clone()));
+            }
+            let id = format!("once-{status}");
+            let response = fleet.request(0, "POST", "/release/1", &id).await;
+            let seen = response.map_or(0, |response| response.status);
+            if (seen, fleet.runs(&id)) != (502, 1) {
+                wrong.push(format!("unsafe, {status}: {seen} after {} runs", fleet.runs(&id)));
+            }
+            let (mut sent, mut runs) = (0, 0);
+            for healthy in [1, 0] {
+                let lines = [None, Some(line.clone())];
+                for (n, member) in fleet.members.iter().enumerate() {
+                    let line = lines[usize::from(n != healthy)].clone();
+                    member.upstream.change(|behaviour| behaviour.status_line = line);
+                }
+                for n in 0..3 {
+                    let id = format!("again-{status}-{healthy}-{n}");
+                    let response = fleet.request(0, "GET", "/read/1", &id).await;
+                    let seen = response.map_or(0, |response| response.status);
+                    if seen != 200 || fleet.runs(&id) > 2 {
+                        wrong.push(format!("safe, {status}: {seen} after {}", fleet.runs(&id)));
+                    }
+                    (sent, runs) = (sent + 1, runs + fleet.runs(&id));
+                }
+            }
+            if runs <= sent {
+                wrong
+                    .push(format!("safe, {status}: {runs} runs of {sent} requests, none repeated"));
+            }
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
+
+/// A peer that passes offers on to another node and changes the status of the answers.
+struct ChangingPeer {
+    client: InnerClient<SystemClock>,
+    /// Inner address of the other node, `node-1`.
+    to: SocketAddr,
+    status: u16,
+}
+
+impl InnerHandler for ChangingPeer {
+    async fn call(&self, _: CallHead, _: Bytes) -> Option<(ReplyHead, Bytes)> {
+        None
+    }
+
+    async fn control(&self, path: &str, body: Bytes) -> Option<Vec<u8>> {
+        if path != OFFER_PATH {
+            return None;
+        }
+        let mut offer: Offer = codec::decode(&body).ok()?;
+        offer.node = "node-1".into();
+        let deadline = Instant::now() + offer.remaining;
+        let reply =
+            self.client.request(self.to, OFFER_PATH, codec::encode(&offer), deadline).await.ok()?;
+        let mut reply: Reply = codec::decode(&reply).ok()?;
+        if let End::Answered(response) = &mut reply.end {
+            response.status = self.status;
+        }
+        Some(codec::encode(&reply))
+    }
+}
+
+/// Guards against an invalid status in the reply of another node that reaches the client.
+#[test]
+fn invalid_status_from_a_peer_reaches_the_client() {
+    block_on(async {
+        let mut fleet = Fleet::start(2).await;
+        let timers = Timers::default();
+        task::spawn(timers.clone().drive(SystemClock));
+        let record = fleet.store.get("mesh/nodes/node-1").unwrap();
+        let to = record["inner"].as_str().unwrap().parse().unwrap();
+        let mut wrong = Vec::new();
+        for (n, status) in [0, 101, 600, 999].into_iter().enumerate() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut changed = record.clone();
+            changed["node"] = json!(format!("peer-{n}"));
+            changed["inner"] = json!(listener.local_addr().unwrap());
+            let client =
+                InnerClient::new(SystemClock, timers.clone(), Duration::from_secs(1), 1 << 20);
+            let peer = Arc::new(ChangingPeer { client, to, status });
+            let (stop, stopped) = async_channel::bounded(1);
+            task::spawn(Arc::new(InnerServer::new(peer, 1 << 20)).serve(listener, stopped));
+            let key = format!("mesh/nodes/peer-{n}");
+            fleet.store.put(&key, &changed);
+            task::sleep(Duration::from_millis(1_500)).await;
+            // Only the peer is left to ask for the first node, whose own upstream has left.
+            if n == 0 {
+                assert_eq!(fleet.members[0].announce("draining").await, 200);
+            }
+            let mut seen = Vec::new();
+            for n in 0..6 {
+                let id = format!("changed-{status}-{n}");
+                let response = fleet.request(0, "POST", "/release/1", &id).await;
+                seen.push(response.map_or(0, |response| response.status));
+            }
+            // Answers of the other node itself are 200.
+            if !seen.contains(&502) || seen.iter().any(|status| ![200, 502].contains(status)) {
+                wrong.push(format!("{status}: {seen:?}"));
+            }
+            fleet.store.remove(&key);
+            stop.close();
+        }
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
