Treat a response with an invalid status as a failed run

Cause: any three digits counted as the status of an answer, from an upstream, in a health check and in the reply of another node. Change: reading a response fails with invalid-status unless the status is from 200 to 599, also for 101, since nodes never ask for a change of the protocol; other interim responses are skipped as before. The connection is not reused, an unsafe request gets 502, a safe one is retried elsewhere. A status in another node's reply is checked, too. After a 204 or 304 that announces a body the connection is not reused, and no body is written after them. The new error kind is the last one of its table, since nodes encode a kind by its position.

--- a/crates/burn/src/cause.rs
+++ b/crates/burn/src/cause.rs
@@ -85,6 +85,7 @@
             ErrorKind::Overloaded | ErrorKind::NoUpstream => Some(Self::Overload),
             ErrorKind::MismatchedAnswer
             | ErrorKind::TruncatedAnswer
+            | ErrorKind::InvalidStatus
             | ErrorKind::CrashSuspect
             | ErrorKind::CrashesUpstreams => Some(Self::UpstreamFailure),
             ErrorKind::ConnectFailed | ErrorKind::ConnectionLost | ErrorKind::PeerProtocol => {
--- a/crates/language/src/advice.rs
+++ b/crates/language/src/advice.rs
@@ -76,6 +76,9 @@
         ErrorKind::TruncatedAnswer => {
             "The request may have run. Check whether the upstream stops while it answers."
         }
+        ErrorKind::InvalidStatus => {
+            "The request may have run. Correct the upstream: a final answer has a status from 200 to 599."
+        }
         ErrorKind::PeerProtocol => "Check that all nodes run versions that understand each other.",
         ErrorKind::Cancelled => "Nothing; the client closed its connection before the answer.",
         ErrorKind::Unauthorized => "Send the operator's token from `[operators]`.",
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -146,6 +146,8 @@
     Unauthorized => "unauthorized", 401, true, false, "The operator token is missing or wrong.";
     /// A fault of the node itself.
     Internal => "internal", 500, false, false, "The node failed internally.";
+    /// The status of the answer is none that HTTP allows there.
+    InvalidStatus => "invalid-status", 502, false, true, "The upstream answered with an invalid status.";
 }
 
 impl fmt::Display for ErrorKind {
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,7 +3,7 @@
 //! Input after a message stays in the buffer, so that bytes that belong to no message are detected.
 //! A body is read completely before it is passed on.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, ops::RangeInclusive};
 
 use async_std::net::TcpStream;
 use futures_util::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -43,6 +43,13 @@
     "upgrade",
 ];
 
+/// Status codes of final responses. Any other one, apart from those of interim responses, is invalid.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Status of a change of the protocol. It is a final response to a request for the change, which
+/// nodes never send, so it is invalid here, and what follows it on the connection is not HTTP.
+const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a message could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HttpError {
@@ -52,6 +59,8 @@
     Broken,
     /// The bytes are not a valid message.
     Malformed,
+    /// The status of a response is invalid.
+    InvalidStatus,
     /// The head is over its limit.
     HeadTooLarge,
     /// The body is over its limit.
@@ -94,6 +103,11 @@
         self.0.retain(|(header, _)| !header.eq_ignore_ascii_case(name));
     }
 
+    /// Returns the length of all names and values, in bytes.
+    pub fn size(&self) -> usize {
+        self.0.iter().map(|(name, value)| name.len() + value.len()).sum()
+    }
+
     /// Removes the headers that concern only one connection, including those that `Connection`
     /// lists.
     pub fn remove_hop_by_hop(&mut self) {
@@ -142,6 +156,13 @@
     pub close: bool,
 }
 
+impl RequestHead {
+    /// Returns whether the client waits for an interim response before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.headers.contains_token("expect", "100-continue")
+    }
+}
+
 /// Head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -239,7 +260,7 @@
     }
 
     /// Reads the head of a response, of which at most `max` bytes are buffered; interim responses
-    /// are skipped.
+    /// are skipped, except for one that changes the protocol, which is invalid.
     ///
     /// # Errors
     ///
@@ -250,9 +271,14 @@
             match parse_response(&self.buf[self.consumed..])? {
                 Some((head, len)) => {
                     self.consumed += len;
-                    if !(100..200).contains(&head.status) {
+                    if FINAL_STATUSES.contains(&head.status) {
                         return Ok(head);
                     }
+                    if !(100..200).contains(&head.status)
+                        || head.status == STATUS_SWITCHING_PROTOCOLS
+                    {
+                        return Err(HttpError::InvalidStatus);
+                    }
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(HttpError::Malformed);
@@ -418,14 +444,29 @@
     if close {
         buf.extend_from_slice(b"Connection: close\r\n");
     }
-    if !matches!(status, 204 | 304) {
-        buf.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    if !has_body(status) {
+        // A client would take the body for the beginning of the next response.
+        buf.extend_from_slice(b"\r\n");
+        return buf;
     }
-    buf.extend_from_slice(b"\r\n");
+    buf.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
     buf.extend_from_slice(body);
     buf
 }
 
+/// Returns whether responses with a status have a body.
+fn has_body(status: u16) -> bool {
+    !matches!(status, 204 | 304)
+}
+
+/// Returns whether a response has no body by its status, but its headers announce one that may follow
+/// nevertheless.
+pub fn announces_forbidden_body(status: u16, headers: &Headers) -> bool {
+    let announced = headers.get("transfer-encoding").is_some()
+        || headers.get("content-length").is_some_and(|length| length != "0");
+    !has_body(status) && announced
+}
+
 /// Returns how the end of a request's body is determined.
 ///
 /// # Errors
@@ -446,7 +487,7 @@
 ///
 /// Returns [`HttpError::Malformed`] when it is ambiguous.
 pub fn response_framing(status: u16, headers: &Headers) -> Result<Framing, HttpError> {
-    if matches!(status, 204 | 304) {
+    if !has_body(status) {
         return Ok(Framing::Length(0));
     }
     let length = content_length(headers)?;
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -551,7 +551,8 @@
         );
         let unknown = |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE };
         match decoded {
-            Ok(Ok(reply)) => {
+            Ok(Ok(Reply { end, state })) => {
+                let reply = Reply { end: end.with_valid_status(), state };
                 self.on_reply(&reply, offer, record, sent);
                 Ok(reply)
             }
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -13,7 +13,10 @@
 use oleandertiller_platform::header;
 use serde::{Deserialize, Serialize};
 
-use super::{http::Headers, metrics::Decision};
+use super::{
+    http::{FINAL_STATUSES, Headers},
+    metrics::Decision,
+};
 
 /// Path of the `h2` requests that offer a request to an owner.
 pub const OFFER_PATH: &str = "/mesh/offer";
@@ -144,6 +147,17 @@
 }
 
 impl End {
+    /// Returns this end, or an unknown one if the response has an invalid status, so that another
+    /// node cannot pass one on to a client.
+    pub fn with_valid_status(self) -> Self {
+        match self {
+            Self::Answered(response) if !FINAL_STATUSES.contains(&response.status) => {
+                Self::Unknown(ErrorKind::InvalidStatus)
+            }
+            end => end,
+        }
+    }
+
     /// Returns the owner's decision and its reason, for metrics.
     pub fn decision(&self) -> (Decision, &'static str) {
         match self {
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -14,7 +14,10 @@
 use oleandertiller_platform::header;
 
 use super::{
-    http::{HttpConn, HttpError, ResponseHead, encode_request, response_framing},
+    http::{
+        HttpConn, HttpError, ResponseHead, announces_forbidden_body, encode_request,
+        response_framing,
+    },
     message::Response,
 };
 
@@ -107,7 +110,8 @@
 /// Writes a request and reads its complete response.
 ///
 /// A connection is not reused if the response arrives before the request is written completely,
-/// since the upstream may still wait for the rest. Responses with another id belong to earlier
+/// since the upstream may still wait for the rest, or if a body may follow that the status rules out.
+/// Responses with another id belong to earlier
 /// requests and are skipped; so are refusals without an id on a connection that was used before,
 /// which may be those of earlier requests.
 ///
@@ -141,6 +145,7 @@
 fn has_delimited_body(head: &ResponseHead) -> bool {
     use super::http::Framing;
     !matches!(response_framing(head.status, &head.headers), Ok(Framing::UntilClose) | Err(_))
+        && !announces_forbidden_body(head.status, &head.headers)
 }
 
 /// Returns how long a connection may idle after a response.
@@ -190,6 +195,7 @@
 fn exchange_error(error: HttpError, response_started: bool) -> ExchangeError {
     let why = match error {
         HttpError::Closed => ErrorKind::ConnectionLost,
+        HttpError::InvalidStatus => ErrorKind::InvalidStatus,
         HttpError::Broken if !response_started => ErrorKind::ConnectionLost,
         _ => ErrorKind::TruncatedAnswer,
     };
