Decide which requests of a connection run concurrently

Cause: requests of one connection are served one after the other, so those of clients that pipeline wait for all before them. Change: pure decisions on the window of a connection: what is read ahead, what runs alone, the order of responses and which one is the last, bounded in number and bytes. Not used yet.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`leadership`]: which process leads the rollouts of a service.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
+//! - [`pipeline`]: which requests on one connection run concurrently.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`request_limit`]: how many requests an upstream in need gets.
 //! - [`retry_after`]: when a refused client should retry.
@@ -29,6 +30,7 @@
 pub mod leadership;
 pub mod lease;
 pub mod members;
+pub mod pipeline;
 pub mod placement;
 pub mod request_limit;
 pub mod retry_after;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod load;
 mod members;
+mod pipeline;
 mod placement;
 mod request_limit;
 mod retry_budget;
