Run idempotent requests of a connection concurrently, answered in order

Cause: requests of one connection were served one after the other; with 260 ms of work the fifth of a client that pipelines is answered after 1.3 s, beyond its objective. A client that leaves cancels all; in a planned stop what was read is answered and the last response closes. The soak's clients pipeline, and it checks ids, order and that nothing runs behind a response that closes.

--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod dispatch;
 mod outcome;
+mod pipeline;
 mod request;
 
 use std::{
@@ -29,7 +30,7 @@
     control::has_input,
     daemon::Shared,
     deployment_state::time_left,
-    http::{Headers, HttpConn, HttpError, RequestHead, encode_response, request_framing},
+    http::{Framing, Headers, HttpConn, HttpError, RequestHead, encode_response, request_framing},
     message::Response,
     metrics::Decision,
 };
@@ -70,6 +71,64 @@
     Linger,
 }
 
+/// How the service of a request has ended.
+enum Served {
+    /// All requests that were read are answered, or the connection ends.
+    Done(AfterRequest),
+    /// The head of the next request is read, and when its first byte had arrived.
+    Next(RequestHead, Instant),
+}
+
+/// Why a request could not be read completely.
+enum Unread {
+    /// The client has closed the connection, or it has broken.
+    Gone,
+    /// It is refused; the connection can't be used further.
+    Refused(ErrorKind),
+}
+
+/// A request that has its final outcome.
+struct Ended {
+    id: Option<Arc<str>>,
+    outcome: Outcome,
+    arrived: Instant,
+}
+
+impl Ended {
+    /// Returns about how many bytes are held for the response.
+    fn size(&self) -> usize {
+        let response = self.outcome.result.as_ref();
+        response.map_or(0, |response| response.headers.size() + response.body.len())
+    }
+}
+
+/// What comes on a connection while a request of it runs.
+enum NextInput {
+    /// The first bytes of another request.
+    Request,
+    /// The end of the connection.
+    Gone,
+}
+
+/// Logs and counts a request as cancelled when it is dropped.
+struct CancelGuard<'a, C: Clock> {
+    ingress: &'a Ingress<C>,
+    request: &'a ClientRequest,
+}
+
+impl<C: Clock> CancelGuard<'_, C> {
+    /// Ends the guard of a request that has its outcome.
+    fn end(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl<C: Clock> Drop for CancelGuard<'_, C> {
+    fn drop(&mut self) {
+        self.ingress.log_cancelled(self.request);
+    }
+}
+
 /// The HTTP server for clients and for the local upstream.
 pub struct Ingress<C: Clock> {
     shared: Arc<Shared<C>>,
@@ -121,18 +180,55 @@
             return AfterRequest::Close;
         }
         let _active = CountGuard::new(&self.shared.active);
-        let arrived = clock.now();
-        let head = conn.read_request(limits.head_bytes);
-        let head = match timers.within(arrived + limits.head_time, head).await {
-            Some(Ok(head)) => head,
-            Some(Err(HttpError::Closed | HttpError::Broken)) => return AfterRequest::Close,
-            Some(Err(HttpError::HeadTooLarge)) => {
-                return self.refuse_unread(conn, ErrorKind::HeadTooLarge).await;
-            }
-            Some(Err(_)) => return self.refuse_unread(conn, ErrorKind::BadRequest).await,
-            None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
+        let (mut head, mut arrived) = match self.read_head(conn, limits).await {
+            Ok(read) => read,
+            Err(unread) => return self.end_unread(conn, unread).await,
         };
-        self.serve_request(conn, head, limits, arrived).await
+        loop {
+            match self.serve_request(conn, head, limits, arrived).await {
+                Served::Done(after) => return after,
+                Served::Next(next, at) => (head, arrived) = (next, at),
+            }
+        }
+    }
+
+    /// Reads the head of a request whose first bytes have arrived; returns when they had.
+    async fn read_head(
+        &self,
+        conn: &mut HttpConn,
+        limits: ClientLimits,
+    ) -> Result<(RequestHead, Instant), Unread> {
+        let arrived = self.shared.clock.now();
+        let head = conn.read_request(limits.head_bytes);
+        match self.shared.timers.within(arrived + limits.head_time, head).await {
+            Some(Ok(head)) => Ok((head, arrived)),
+            Some(Err(HttpError::Closed | HttpError::Broken)) => Err(Unread::Gone),
+            Some(Err(HttpError::HeadTooLarge)) => Err(Unread::Refused(ErrorKind::HeadTooLarge)),
+            Some(Err(_)) => Err(Unread::Refused(ErrorKind::BadRequest)),
+            None => Err(Unread::Refused(ErrorKind::SlowClient)),
+        }
+    }
+
+    async fn read_body(
+        &self,
+        conn: &mut HttpConn,
+        head: &RequestHead,
+        framing: Framing,
+        limits: ClientLimits,
+    ) -> Result<Vec<u8>, Unread> {
+        let max_body_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
+        let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
+        // From now: the head may have waited for the responses to earlier requests.
+        let deadline = self.shared.clock.now()
+            + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
+        let body = conn.read_body(framing, max_body_bytes);
+        match self.shared.timers.within(deadline, body).await {
+            Some(Ok(body)) => Ok(body),
+            Some(Err(HttpError::BodyTooLarge)) => Err(Unread::Refused(ErrorKind::BodyTooLarge)),
+            Some(Err(HttpError::Malformed)) => Err(Unread::Refused(ErrorKind::BadRequest)),
+            Some(Err(_)) => Err(Unread::Gone),
+            None => Err(Unread::Refused(ErrorKind::SlowClient)),
+        }
     }
 
     async fn serve_request(
@@ -141,70 +237,83 @@
         head: RequestHead,
         limits: ClientLimits,
         arrived: Instant,
-    ) -> AfterRequest {
-        let Shared { clock, timers, .. } = &*self.shared;
+    ) -> Served {
         let Ok(framing) = request_framing(&head.headers) else {
-            return self.refuse_unread(conn, ErrorKind::BadRequest).await;
+            return Served::Done(self.refuse_unread(conn, ErrorKind::BadRequest).await);
         };
-        if head.headers.contains_token("expect", "100-continue")
-            && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
-        {
-            return AfterRequest::Close;
+        if head.expects_continue() && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            return Served::Done(AfterRequest::Close);
         }
-        let max_body_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
-        let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
-        let body_deadline =
-            arrived + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
-        let body = match timers.within(body_deadline, conn.read_body(framing, max_body_bytes)).await
-        {
-            Some(Ok(body)) => body,
-            Some(Err(HttpError::BodyTooLarge)) => {
-                return self.refuse_unread(conn, ErrorKind::BodyTooLarge).await;
-            }
-            Some(Err(HttpError::Malformed)) => {
-                return self.refuse_unread(conn, ErrorKind::BadRequest).await;
-            }
-            Some(Err(_)) => return AfterRequest::Close,
-            None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
+        let body = match self.read_body(conn, &head, framing, limits).await {
+            Ok(body) => body,
+            Err(unread) => return Served::Done(self.end_unread(conn, unread).await),
         };
-        if self.shared.refusing.load(Ordering::SeqCst) {
-            return self.refuse_unread(conn, ErrorKind::Draining).await;
+        if self.is_refusing() {
+            return Served::Done(self.refuse_unread(conn, ErrorKind::Draining).await);
         }
         let close = head.close;
-        let caller = self.shared.caller();
-        let request =
-            ClientRequest::read(head, body, arrived, self.shared.config().as_deref(), &caller);
-        let (id, outcome) = match request {
-            Err(refusal) => (refusal.id.clone(), self.on_refusal(&refusal, arrived)),
-            Ok(request) if !self.ends_before_exit(&request) => {
-                let refusal = request.refuse(ErrorKind::Draining);
-                (refusal.id.clone(), self.on_refusal(&refusal, arrived))
+        let ended = match self.admit(head, body, arrived) {
+            Err(refusal) => {
+                let outcome = self.on_refusal(&refusal, arrived);
+                Ended { id: refusal.id, outcome, arrived }
             }
-            Ok(mut request) => {
-                request.parent = self.shared.owner.parent_of(&request.id);
-                let outcome =
-                    match select(pin!(self.run_request(&request)), pin!(conn.wait_for_close()))
-                        .await
-                    {
-                        Either::Left((outcome, _)) => Some(outcome),
-                        Either::Right(_) => None,
-                    };
-                let Some(outcome) = outcome else {
-                    self.log_cancelled(&request);
-                    return AfterRequest::Close;
+            Ok(request) => {
+                let bytes = request.size();
+                let pipelines = request.is_idempotent() && !close && !self.shared.is_stopping();
+                let mut run = pin!(self.run_to_end(request));
+                let next = match select(run.as_mut(), pin!(wait_for_next(conn, pipelines))).await {
+                    Either::Left((ended, _)) => Ok(ended),
+                    Either::Right((next, _)) => Err(next),
                 };
-                self.log_ended(&request, &outcome);
-                (Some(request.id.clone()), outcome)
+                match next {
+                    Ok(ended) => ended,
+                    Err(NextInput::Gone) => return Served::Done(AfterRequest::Close),
+                    Err(NextInput::Request) => {
+                        return Box::pin(self.serve_pipelined(conn, run, bytes, limits)).await;
+                    }
+                }
             }
         };
         let close = close || self.shared.is_stopping();
-        let bytes = self.encode_outcome(id.as_deref(), outcome, arrived, close);
-        let written = timers.within(clock.now() + WRITE_TIMEOUT, conn.write(&bytes)).await;
-        match written {
+        let bytes = self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
+        let until = self.shared.clock.now() + WRITE_TIMEOUT;
+        Served::Done(match self.shared.timers.within(until, conn.write(&bytes)).await {
             Some(Ok(())) if close => AfterRequest::Linger,
             Some(Ok(())) => AfterRequest::KeepAlive,
             _ => AfterRequest::Close,
+        })
+    }
+
+    /// Validates and routes a request that was read completely; refuses one that cannot end before
+    /// the process exits.
+    fn admit(
+        &self,
+        head: RequestHead,
+        body: Vec<u8>,
+        arrived: Instant,
+    ) -> Result<ClientRequest, Refusal> {
+        let caller = self.shared.caller();
+        let cfg = self.shared.config();
+        let mut request = ClientRequest::read(head, body, arrived, cfg.as_deref(), &caller)?;
+        if !self.ends_before_exit(&request) {
+            return Err(request.refuse(ErrorKind::Draining));
         }
+        request.parent = self.shared.owner.parent_of(&request.id);
+        Ok(request)
+    }
+
+    /// Runs a request to its final outcome; if it is dropped before, it counts as cancelled.
+    async fn run_to_end(&self, request: ClientRequest) -> Ended {
+        let unfinished = CancelGuard { ingress: self, request: &request };
+        let outcome = self.run_request(&request).await;
+        unfinished.end();
+        self.log_ended(&request, &outcome);
+        Ended { id: Some(request.id.clone()), outcome, arrived: request.arrived }
+    }
+
+    /// Returns whether requests are refused because the process is about to exit.
+    fn is_refusing(&self) -> bool {
+        self.shared.refusing.load(Ordering::SeqCst)
     }
 
     /// Returns whether a request is likely to end before the process exits.
@@ -259,8 +368,7 @@
 
     /// Responds to a request that was not read completely; the connection can't be reused after it.
     async fn refuse_unread(&self, conn: &mut HttpConn, kind: ErrorKind) -> AfterRequest {
-        log::info!(why = kind.answer().name; "request refused before it was read completely");
-        self.shared.metrics.count_decision(Decision::Refuse, kind.answer().name);
+        self.log_unread(kind);
         let outcome = Outcome::refused(kind, REFUSED_EXPECTED_WAIT);
         let bytes = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
@@ -270,6 +378,19 @@
         }
     }
 
+    /// Ends the connection of a request that could not be read.
+    async fn end_unread(&self, conn: &mut HttpConn, unread: Unread) -> AfterRequest {
+        match unread {
+            Unread::Gone => AfterRequest::Close,
+            Unread::Refused(kind) => self.refuse_unread(conn, kind).await,
+        }
+    }
+
+    fn log_unread(&self, kind: ErrorKind) {
+        log::info!(why = kind.answer().name; "request refused before it was read completely");
+        self.shared.metrics.count_decision(Decision::Refuse, kind.answer().name);
+    }
+
     fn encode_outcome(
         &self,
         id: Option<&str>,
@@ -304,6 +425,17 @@
     }
 }
 
+/// Waits for the end of the connection, and if `pipelines`, also for the next request.
+async fn wait_for_next(conn: &mut HttpConn, pipelines: bool) -> NextInput {
+    if pipelines && matches!(conn.wait_for_input().await, Ok(true)) {
+        return NextInput::Request;
+    }
+    if !pipelines {
+        conn.wait_for_close().await;
+    }
+    NextInput::Gone
+}
+
 /// Returns the version of a configuration, or 0 if there is none.
 fn version_of(cfg: Option<&Config>) -> u64 {
     cfg.map_or(0, |cfg| cfg.version)
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -135,6 +135,11 @@
         Refusal { kind, id: Some(self.id), host, target: self.target, config: self.config }
     }
 
+    /// Returns about how many bytes the request holds.
+    pub fn size(&self) -> usize {
+        self.target.len() + self.headers.size() + self.body.len()
+    }
+
     /// Returns whether the request is idempotent, so that it may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.retry_safety == RetrySafety::Idempotent
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -70,6 +70,9 @@
     Retry,
     /// An ingress refused or gave up the request.
     Refuse,
+    /// A request arrived on a connection behind others that were not answered; the reason tells
+    /// whether it ran beside them, had to wait for them or was cancelled.
+    Pipeline,
 }
 
 impl Decision {
@@ -82,6 +85,7 @@
             Self::Hedge => "hedge",
             Self::Retry => "repeat",
             Self::Refuse => "refuse",
+            Self::Pipeline => "pipeline",
         }
     }
 }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod lost_answers;
 mod odd_entries;
+mod pipelining;
 mod planned_stop;
 mod processes;
 mod slow_version;
--- a/tests/mesh/soak/checks.rs
+++ b/tests/mesh/soak/checks.rs
@@ -49,8 +49,11 @@
             *runs.entry(run.id).or_default() += 1;
         }
     }
-    for FinishedRequest { id, repeatable, response } in finished {
+    for FinishedRequest { id, repeatable, behind_close, response } in finished {
         let ran = runs.get(id).copied().unwrap_or(0);
+        if *behind_close && ran > 0 {
+            return Err(format!("{id} ran although a response ahead of it closed the connection"));
+        }
         let max_runs = if *repeatable { MAX_ATTEMPTS } else { 1 };
         if ran > max_runs {
             return Err(format!("{id} ran {ran} times, more than allowed"));
@@ -59,6 +62,10 @@
         if !repeatable && NOT_RUN_STATUSES.contains(&response.status) && ran > 0 {
             return Err(format!("{id} was refused with status {} but ran", response.status));
         }
+        let echoed = response.headers.get("Oleandertiller-Attempt-Id");
+        if echoed.is_some_and(|echoed| echoed != id) {
+            return Err(format!("{id} got the response of another request: {response:?}"));
+        }
         let signature = response.headers.get("Oleandertiller-Response-Signature");
         if response.status == 200 {
             let instance = signature.and_then(|signature| signature.strip_prefix("signed-"));
--- a/tests/mesh/soak/clients.rs
+++ b/tests/mesh/soak/clients.rs
@@ -33,11 +33,19 @@
 /// Time between two announcements of an upstream.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Of this many turns of a client, one sends several requests without waiting for the responses.
+const PIPELINE_INTERVAL: usize = 4;
+
+/// Requests that a client sends at once then.
+const PIPELINED_REQUESTS: usize = 4;
+
 /// A finished request as its client saw it.
 #[derive(Debug)]
 pub struct FinishedRequest {
     pub id: String,
     pub repeatable: bool,
+    /// Whether it was sent behind a request whose response closed the connection.
+    pub behind_close: bool,
     /// The response; `None` if the connection closed or the client timed out.
     pub response: Option<Response>,
 }
@@ -72,40 +80,68 @@
 }
 
 async fn run(ingress: SocketAddr, name: String, stop: Arc<AtomicBool>) -> Vec<FinishedRequest> {
-    let mut finished = Vec::new();
+    let mut finished: Vec<FinishedRequest> = Vec::new();
     let mut conn = None;
-    while !stop.load(Ordering::Relaxed) {
-        let (id, repeatable) = (format!("{name}-{}", finished.len()), finished.len() % 2 == 0);
+    for turn in 1.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let pipelines = turn % PIPELINE_INTERVAL == 0;
+        let count = if pipelines { PIPELINED_REQUESTS } else { 1 };
+        let ids: Vec<_> = (0..count).map(|n| format!("{name}-{}", finished.len() + n)).collect();
+        let repeatable = pipelines || turn % 2 == 0;
         let open = match conn.take() {
             Some(conn) => Some(conn),
             None => HttpConn::connect(ingress).await.ok(),
         };
-        let mut response = None;
-        if let Some(mut open) = open
-            && let Ok(Some((received, close))) =
-                timeout(CLIENT_TIMEOUT, exchange(&mut open, &id, repeatable)).await
-        {
-            response = Some(received);
-            conn = (!close).then_some(open);
+        let mut responses = Vec::new();
+        let mut closed = false;
+        if let Some(mut open) = open {
+            let exchange = exchange(&mut open, &ids, repeatable, &mut responses);
+            let end = timeout(CLIENT_TIMEOUT, exchange).await.ok().flatten();
+            closed = end == Some(true);
+            conn = (end == Some(false)).then_some(open);
+        }
+        let mut responses = responses.into_iter();
+        for id in ids {
+            let response = responses.next();
+            let behind_close = closed && response.is_none();
+            finished.push(FinishedRequest { id, repeatable, behind_close, response });
         }
-        finished.push(FinishedRequest { id, repeatable, response });
         task::sleep(THINK_TIME).await;
     }
     finished
 }
 
-async fn exchange(conn: &mut HttpConn, id: &str, repeatable: bool) -> Option<(Response, bool)> {
+/// Sends requests at once and reads their responses; returns whether the last one read closes the
+/// connection, or `None` if it broke.
+async fn exchange(
+    conn: &mut HttpConn,
+    ids: &[String],
+    repeatable: bool,
+    responses: &mut Vec<Response>,
+) -> Option<bool> {
     let (method, path) = if repeatable { ("GET", "/read/1") } else { ("POST", "/release/1") };
-    let mut headers = Headers::default();
-    headers.set("Host", "shop.example");
-    headers.set("Oleandertiller-Attempt-Id", id);
-    headers.set("Oleandertiller-Deadline-Milliseconds", DEADLINE.as_millis().to_string());
-    conn.write(&encode_request(method, path, &headers, &[])).await.ok()?;
-    let head = conn.read_response(64_000).await.ok()?;
-    let framing = response_framing(head.status, &head.headers).ok()?;
-    let body = conn.read_body(framing, 1 << 20).await.ok()?;
-    let body = String::from_utf8_lossy(&body).into_owned();
-    Some((Response { status: head.status, headers: head.headers, body }, head.close))
+    let mut requests = Vec::new();
+    for id in ids {
+        let mut headers = Headers::default();
+        headers.set("Host", "shop.example");
+        headers.set("Oleandertiller-Attempt-Id", id.as_str());
+        headers.set("Oleandertiller-Deadline-Milliseconds", DEADLINE.as_millis().to_string());
+        requests.extend(encode_request(method, path, &headers, &[]));
+    }
+    conn.write(&requests).await.ok()?;
+    for _ in ids {
+        let head = conn.read_response(64_000).await.ok()?;
+        let framing = response_framing(head.status, &head.headers).ok()?;
+        let body = conn.read_body(framing, 1 << 20).await.ok()?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        responses.push(Response { status: head.status, headers: head.headers, body });
+        if head.close {
+            return Some(true);
+        }
+    }
+    Some(false)
 }
 
 /// The announcements of one upstream.
