--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -17,6 +17,7 @@
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
     config::{ClientLimits, Config},
+    memory_budget::{Activity, Holder},
     retry_after::retry_after,
 };
 use oleandertiller_model::{Clock, ErrorKind};
@@ -27,10 +28,14 @@
     request::{ClientRequest, Refusal},
 };
 use super::{
+    body::{Body, BodyLimits},
     control::has_input,
     daemon::Shared,
     deployment_state::time_left,
-    http::{Framing, Headers, HttpConn, HttpError, RequestHead, encode_response, request_framing},
+    http::{
+        Framing, Headers, HttpConn, HttpError, RequestHead, encode_response, encode_response_head,
+        has_body, join_small_body, request_framing,
+    },
     message::Response,
     metrics::Decision,
 };
@@ -44,10 +49,6 @@
     idle_time: Duration::from_secs(15),
 };
 
-/// Largest request body, in bytes, even if operators allow more: messages between nodes are limited
-/// in size.
-const MAX_BODY_BYTES: usize = 1 << 20;
-
 /// Time beyond the idle limit for which a connection stays open, so that a request that a client
 /// sends within the limit does not race with the close.
 const IDLE_GRACE: Duration = Duration::from_secs(2);
@@ -147,8 +148,12 @@
     }
 
     async fn serve_connection(self: Arc<Self>, stream: TcpStream, stop: Receiver<()>) {
+        let Some(client) = self.shared.memory.admit_client(&stream) else {
+            self.shared.metrics.count_decision(Decision::Refuse, "no-room-for-connection");
+            return;
+        };
         let mut conn = match HttpConn::new(stream) {
-            Ok(conn) => conn,
+            Ok(conn) => conn.with_client(client),
             Err(error) => {
                 log::info!(error:% = error; "cannot set up client connection");
                 return;
@@ -161,13 +166,23 @@
                 AfterRequest::Linger => {
                     conn.shutdown_write();
                     let until = self.shared.clock.now() + LINGER_TIMEOUT;
-                    self.shared.timers.within(until, conn.wait_for_close()).await;
+                    self.shared.timers.within(until, conn.discard_until_close()).await;
                     return;
                 }
             }
         }
     }
 
+    fn body_limits(&self, conn: &HttpConn, max: usize) -> BodyLimits {
+        let memory = &self.shared.memory;
+        let max = max.min(memory.max_body_bytes());
+        let limits = BodyLimits::new(max, memory.clone(), Holder::RequestBodies);
+        match conn.client() {
+            Some(client) => limits.with_client(client.clone()),
+            None => limits,
+        }
+    }
+
     fn limits(&self) -> ClientLimits {
         self.shared.config().map_or(DEFAULT_LIMITS, |cfg| cfg.limits)
     }
@@ -175,20 +190,24 @@
     async fn serve_next(&self, conn: &mut HttpConn, stop: &Receiver<()>) -> AfterRequest {
         let Shared { clock, timers, .. } = &*self.shared;
         let limits = self.limits();
+        conn.set_activity(Activity::Idle);
         let idle_deadline = clock.now() + limits.idle_time + IDLE_GRACE;
         if !timers.within(idle_deadline, has_input(conn, stop)).await.unwrap_or(false) {
             return AfterRequest::Close;
         }
         let _active = CountGuard::new(&self.shared.active);
+        conn.set_activity(Activity::Reading);
         let (mut head, mut arrived) = match self.read_head(conn, limits).await {
             Ok(read) => read,
             Err(unread) => return self.end_unread(conn, unread).await,
         };
         loop {
-            match self.serve_request(conn, head, limits, arrived).await {
+            // On the heap, so that an idle connection's task is small.
+            match Box::pin(self.serve_request(conn, head, limits, arrived)).await {
                 Served::Done(after) => return after,
                 Served::Next(next, at) => (head, arrived) = (next, at),
             }
+            conn.set_activity(Activity::Reading);
         }
     }
 
@@ -204,6 +223,7 @@
             Some(Ok(head)) => Ok((head, arrived)),
             Some(Err(HttpError::Closed | HttpError::Broken)) => Err(Unread::Gone),
             Some(Err(HttpError::HeadTooLarge)) => Err(Unread::Refused(ErrorKind::HeadTooLarge)),
+            Some(Err(HttpError::NoMemory)) => Err(Unread::Refused(ErrorKind::Overloaded)),
             Some(Err(_)) => Err(Unread::Refused(ErrorKind::BadRequest)),
             None => Err(Unread::Refused(ErrorKind::SlowClient)),
         }
@@ -215,16 +235,17 @@
         head: &RequestHead,
         framing: Framing,
         limits: ClientLimits,
-    ) -> Result<Vec<u8>, Unread> {
-        let max_body_bytes = limits.body_bytes.min(MAX_BODY_BYTES);
+    ) -> Result<Body, Unread> {
+        let body_limits = self.body_limits(conn, limits.body_bytes);
         let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
         // From now: the head may have waited for the responses to earlier requests.
         let deadline = self.shared.clock.now()
             + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
-        let body = conn.read_body(framing, max_body_bytes);
+        let body = conn.read_limited_body(framing, &body_limits);
         match self.shared.timers.within(deadline, body).await {
             Some(Ok(body)) => Ok(body),
             Some(Err(HttpError::BodyTooLarge)) => Err(Unread::Refused(ErrorKind::BodyTooLarge)),
+            Some(Err(HttpError::NoMemory)) => Err(Unread::Refused(ErrorKind::Overloaded)),
             Some(Err(HttpError::Malformed)) => Err(Unread::Refused(ErrorKind::BadRequest)),
             Some(Err(_)) => Err(Unread::Gone),
             None => Err(Unread::Refused(ErrorKind::SlowClient)),
@@ -248,6 +269,7 @@
             Ok(body) => body,
             Err(unread) => return Served::Done(self.end_unread(conn, unread).await),
         };
+        conn.set_activity(Activity::Serving);
         if self.is_refusing() {
             return Served::Done(self.refuse_unread(conn, ErrorKind::Draining).await);
         }
@@ -275,9 +297,10 @@
             }
         };
         let close = close || self.shared.is_stopping();
-        let bytes = self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
+        let (head, body) = self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
-        Served::Done(match self.shared.timers.within(until, conn.write(&bytes)).await {
+        let written = conn.write_message(&head, body.chunks());
+        Served::Done(match self.shared.timers.within(until, written).await {
             Some(Ok(())) if close => AfterRequest::Linger,
             Some(Ok(())) => AfterRequest::KeepAlive,
             _ => AfterRequest::Close,
@@ -289,7 +312,7 @@
     fn admit(
         &self,
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
         arrived: Instant,
     ) -> Result<ClientRequest, Refusal> {
         let caller = self.shared.caller();
@@ -370,7 +393,7 @@
     async fn refuse_unread(&self, conn: &mut HttpConn, kind: ErrorKind) -> AfterRequest {
         self.log_unread(kind);
         let outcome = Outcome::refused(kind, REFUSED_EXPECTED_WAIT);
-        let bytes = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
+        let (bytes, _) = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
         match self.shared.timers.within(until, conn.write(&bytes)).await {
             Some(Ok(())) => AfterRequest::Linger,
@@ -397,10 +420,14 @@
         outcome: Outcome,
         arrived: Instant,
         close: bool,
-    ) -> Vec<u8> {
+    ) -> (Vec<u8>, Body) {
         match outcome.result {
             Ok(Response { status, headers, body }) => {
-                encode_response(status, &headers, &body, close)
+                // A client would take a body for the beginning of the next response.
+                let body = if has_body(status) { body } else { Body::default() };
+                let mut head = encode_response_head(status, &headers, body.len(), close);
+                let is_joined = join_small_body(&mut head, &body).is_empty();
+                (head, if is_joined { Body::default() } else { body })
             }
             Err(failure) => {
                 let mut headers = Headers::default();
@@ -419,7 +446,7 @@
                     let wait = retry_after(failure.expected_wait, remaining, rand::random());
                     headers.set("Retry-After", format!("{:.3}", wait.as_secs_f64()));
                 }
-                encode_response(status, &headers, text.as_bytes(), close)
+                (encode_response(status, &headers, text.as_bytes(), close), Body::default())
             }
         }
     }
--- a/src/mesh/ingress/pipeline.rs
+++ b/src/mesh/ingress/pipeline.rs
@@ -7,9 +7,10 @@
 use std::{collections::HashMap, future::Future, pin::Pin, task::Poll, time::Instant};
 
 use async_std::net::TcpStream;
-use futures_util::{AsyncWriteExt, StreamExt, future::poll_fn, stream::FuturesUnordered};
+use futures_util::{StreamExt, future::poll_fn, stream::FuturesUnordered};
 use oleandertiller_mesh::{
     config::{ClientLimits, RetrySafety},
+    memory_budget::Activity,
     pipeline::{AfterResponse, Concurrency, Pipeline, PipelineLimits, Position, concurrency},
 };
 use oleandertiller_model::{Clock, ErrorKind};
@@ -19,7 +20,8 @@
     outcome::Outcome, request::ClientRequest,
 };
 use crate::mesh::{
-    http::{Framing, HttpConn, RequestHead, request_framing},
+    body::Body,
+    http::{Framing, HttpConn, RequestHead, request_framing, write_message},
     metrics::Decision,
 };
 
@@ -30,7 +32,7 @@
 /// A request that was read while earlier ones of its connection are not answered.
 enum ReadAhead {
     /// Runs beside the others.
-    Complete(RequestHead, Vec<u8>, Instant),
+    Complete(RequestHead, Body, Instant),
     /// Has to run alone; its body was not read.
     Alone(RequestHead, Instant),
     Unread(Unread),
@@ -108,8 +110,9 @@
                         (read, conn) = (None, None);
                     }
                     let Ended { id, outcome, arrived } = ended;
-                    let bytes = self.encode_outcome(id.as_deref(), outcome, arrived, is_last);
-                    write = Some(Box::pin(self.write_response(writer.clone(), bytes)));
+                    let (head, body) =
+                        self.encode_outcome(id.as_deref(), outcome, arrived, is_last);
+                    write = Some(Box::pin(self.write_response(writer.clone(), head, body)));
                 } else if window.pipeline.is_alone()
                     && let Some((head, arrived)) = alone.take()
                 {
@@ -161,6 +164,7 @@
                     return self.cancel(&window);
                 }
                 Event::Read(idle, request) => {
+                    idle.set_activity(Activity::Serving);
                     (read, conn) = (None, Some(idle));
                     match request {
                         ReadAhead::Unread(Unread::Gone) => return self.cancel(&window),
@@ -190,7 +194,7 @@
         &self,
         window: &mut Window,
         head: RequestHead,
-        body: Vec<u8>,
+        body: Body,
         arrived: Instant,
     ) -> Option<(Position, ClientRequest)> {
         let close = head.close;
@@ -260,9 +264,10 @@
         route.is_none_or(|route| route.retry_safety == RetrySafety::Idempotent)
     }
 
-    async fn write_response(&self, mut writer: TcpStream, bytes: Vec<u8>) -> bool {
+    async fn write_response(&self, mut writer: TcpStream, head: Vec<u8>, body: Body) -> bool {
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
-        let written = self.shared.timers.within(until, writer.write_all(&bytes)).await;
+        let written = write_message(&mut writer, &head, body.chunks());
+        let written = self.shared.timers.within(until, written).await;
         matches!(written, Some(Ok(())))
     }
 
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    body::Body,
     http::{FINAL_STATUSES, Headers},
     metrics::Decision,
 };
@@ -69,8 +70,9 @@
     pub target: String,
     /// Headers for the upstream.
     pub headers: Headers,
-    /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    /// Complete body, without chunked coding; sent behind the encoded message.
+    #[serde(skip)]
+    pub body: Body,
     /// Time until the client stops waiting.
     pub remaining: Duration,
     /// Longest wait in the owner's queue; zero if other owners are to be asked first.
@@ -110,7 +112,8 @@
     /// Returns the fingerprint that a repeated request has as well.
     pub fn fingerprint(&self) -> Fingerprint {
         let caller = self.headers.get(header::CALLER_SERVICE).unwrap_or("");
-        Fingerprint::new(&self.service, caller, &self.method, &self.target, &self.body)
+        let body = self.body.chunks().iter().map(|chunk| &chunk[..]);
+        Fingerprint::new(&self.service, caller, &self.method, &self.target, body)
     }
 }
 
@@ -123,8 +126,9 @@
     pub status: u16,
     /// Headers that the upstream sent.
     pub headers: Headers,
-    /// Complete body, without chunked coding.
-    pub body: Vec<u8>,
+    /// Complete body, without chunked coding; sent behind the encoded message.
+    #[serde(skip)]
+    pub body: Body,
 }
 
 /// How an offer ended.
@@ -180,3 +184,21 @@
     /// State of the owner after the offer.
     pub state: OwnerState,
 }
+
+impl Reply {
+    /// Returns the body that is sent behind the encoded reply.
+    pub fn body(&self) -> &Body {
+        static NO_BODY: Body = Body::empty();
+        match &self.end {
+            End::Answered(response) => &response.body,
+            _ => &NO_BODY,
+        }
+    }
+
+    /// Sets the body that arrived behind the encoded reply.
+    pub fn set_body(&mut self, body: Body) {
+        if let End::Answered(response) = &mut self.end {
+            response.body = body;
+        }
+    }
+}
--- a/tests/mesh/upstream_responses.rs
+++ b/tests/mesh/upstream_responses.rs
@@ -15,6 +15,8 @@
 use futures_util::AsyncReadExt;
 use oleandertiller::{
     mesh::{
+        body::{Body, BodyLimits},
+        frame,
         http::{Headers, HttpConn, encode_request, encode_response},
         message::{End, OFFER_PATH, Offer, Reply},
         upstream::{Exchange, ExchangeError, PooledConn, exchange, request_health},
@@ -28,6 +30,7 @@
     SystemClock, codec,
     message::{CallHead, ReplyHead},
 };
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use crate::fleet::Fleet;
@@ -54,7 +57,8 @@
     let mut headers = Headers::default();
     headers.set("Host", "x");
     let pooled = PooledConn { conn, reused };
-    exchange(pooled, &encode_request("GET", "/", &headers, &[]), id, 1 << 20).await
+    let limits = BodyLimits::unaccounted(1 << 20);
+    exchange(pooled, &encode_request("GET", "/", &headers, &[]), &[], id, &limits).await
 }
 
 async fn request(conn: HttpConn, id: &str) -> Result<Exchange, ExchangeError> {
@@ -90,7 +94,7 @@
                 assert!(request(conn, "a").await.is_err(), "{:?}", &whole[..cut]);
             }
             let conn = connect_to(vec![whole.clone().into_bytes()]).await;
-            assert_eq!(request(conn, "a").await.unwrap().response.body, b"hello");
+            assert_eq!(request(conn, "a").await.unwrap().response.body.to_vec(), b"hello");
         }
     });
 }
@@ -230,6 +234,13 @@
     });
 }
 
+/// Decodes a message between nodes: the lengths of its head and body, then both.
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> (T, Body) {
+    let head = u32::from_le_bytes(bytes[..4].try_into().unwrap()) as usize;
+    let (head, body) = bytes[12..].split_at(head);
+    (codec::decode(head).unwrap(), Bytes::copy_from_slice(body).into())
+}
+
 /// A peer that passes offers on to another node and changes the status of the answers.
 struct ChangingPeer {
     client: InnerClient<SystemClock>,
@@ -247,16 +258,16 @@
         if path != OFFER_PATH {
             return None;
         }
-        let mut offer: Offer = codec::decode(&body).ok()?;
+        let (mut offer, _) = decode::<Offer>(&body);
         offer.node = "node-1".into();
         let deadline = Instant::now() + offer.remaining;
-        let reply =
-            self.client.request(self.to, OFFER_PATH, codec::encode(&offer), deadline).await.ok()?;
-        let mut reply: Reply = codec::decode(&reply).ok()?;
+        let offer = frame::encode(&offer, &Body::default()).concat();
+        let reply = self.client.request(self.to, OFFER_PATH, offer, deadline).await.ok()?;
+        let (mut reply, body) = decode::<Reply>(&reply);
         if let End::Answered(response) = &mut reply.end {
             response.status = self.status;
         }
-        Some(codec::encode(&reply))
+        Some(frame::encode(&reply, &body).concat())
     }
 }
 
