--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`peer_health`]: what an ingress knows of one owner.
 //! - [`nested_calls`]: which services the requests of a route call.
 //! - [`memory_budget`]: what connections, bodies and responses may hold of the process's memory.
+//! - [`pipeline`]: which requests on one connection run concurrently.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`rank_share`]: the starts that an owner gives to requests of lower priority.
 //! - [`request_limit`]: how many requests an upstream in need gets.
@@ -43,6 +44,7 @@
 pub mod memory_budget;
 pub mod nested_calls;
 pub mod peer_health;
+pub mod pipeline;
 pub mod placement;
 pub mod rank_share;
 pub mod request_limit;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod load;
 mod members;
 mod memory_budget;
+mod pipeline;
 mod placement;
 mod request_limit;
 mod retry_budget;
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,7 +3,7 @@
 //! Input after a message stays in the buffer, so that bytes that belong to no message are detected.
 //! A body is read completely before it is passed on.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, ops::RangeInclusive, sync::Arc};
 
 use async_std::net::TcpStream;
 use bytes::Bytes;
@@ -70,6 +70,13 @@
     "upgrade",
 ];
 
+/// Status codes of final responses. Any other one, apart from those of interim responses, is invalid.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Status of a change of the protocol. It is a final response to a request for the change, which
+/// nodes never send, so it is invalid here, and what follows it on the connection is not HTTP.
+const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a message could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HttpError {
@@ -79,6 +86,8 @@
     Broken,
     /// The bytes are not a valid message.
     Malformed,
+    /// The status of a response is invalid.
+    InvalidStatus,
     /// The head is over its limit.
     HeadTooLarge,
     /// The body is over its limit.
@@ -126,6 +135,11 @@
         self.0.retain(|(header, _)| !header.eq_ignore_ascii_case(name));
     }
 
+    /// Returns the length of all names and values, in bytes.
+    pub fn size(&self) -> usize {
+        self.0.iter().map(|(name, value)| name.len() + value.len()).sum()
+    }
+
     /// Removes the headers that concern only one connection, including those that `Connection`
     /// lists.
     pub fn remove_hop_by_hop(&mut self) {
@@ -174,6 +188,13 @@
     pub close: bool,
 }
 
+impl RequestHead {
+    /// Returns whether the client waits for an interim response before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.headers.contains_token("expect", "100-continue")
+    }
+}
+
 /// Head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -307,7 +328,7 @@
     }
 
     /// Reads the head of a response, of which at most `max` bytes are buffered; interim responses
-    /// are skipped.
+    /// are skipped, except for one that changes the protocol, which is invalid.
     ///
     /// # Errors
     ///
@@ -318,9 +339,14 @@
             match parse_response(&self.input[self.start..self.end])? {
                 Some((head, len)) => {
                     self.start += len;
-                    if !(100..200).contains(&head.status) {
+                    if FINAL_STATUSES.contains(&head.status) {
                         return Ok(head);
                     }
+                    if !(100..200).contains(&head.status)
+                        || head.status == STATUS_SWITCHING_PROTOCOLS
+                    {
+                        return Err(HttpError::InvalidStatus);
+                    }
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(HttpError::Malformed);
@@ -616,7 +642,9 @@
 /// Encodes a response with its body.
 pub fn encode_response(status: u16, headers: &Headers, body: &[u8], close: bool) -> Vec<u8> {
     let mut buf = encode_response_head(status, headers, body.len(), close);
-    buf.extend_from_slice(body);
+    if has_body(status) {
+        buf.extend_from_slice(body);
+    }
     buf
 }
 
@@ -634,13 +662,26 @@
     if close {
         buf.extend_from_slice(b"Connection: close\r\n");
     }
-    if !matches!(status, 204 | 304) {
+    if has_body(status) {
         buf.extend_from_slice(format!("Content-Length: {body_len}\r\n").as_bytes());
     }
     buf.extend_from_slice(b"\r\n");
     buf
 }
 
+/// Returns whether responses with a status have a body.
+pub fn has_body(status: u16) -> bool {
+    !matches!(status, 204 | 304)
+}
+
+/// Returns whether a response has no body by its status, but its headers announce one that may follow
+/// nevertheless.
+pub fn announces_forbidden_body(status: u16, headers: &Headers) -> bool {
+    let announced = headers.get("transfer-encoding").is_some()
+        || headers.get("content-length").is_some_and(|length| length != "0");
+    !has_body(status) && announced
+}
+
 /// Returns how the end of a request's body is determined.
 ///
 /// # Errors
@@ -661,7 +702,7 @@
 ///
 /// Returns [`HttpError::Malformed`] when it is ambiguous.
 pub fn response_framing(status: u16, headers: &Headers) -> Result<Framing, HttpError> {
-    if matches!(status, 204 | 304) {
+    if !has_body(status) {
         return Ok(Framing::Length(0));
     }
     let length = content_length(headers)?;
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod dispatch;
 mod outcome;
+mod pipeline;
 mod ranking;
 mod request;
 
@@ -35,8 +36,8 @@
     daemon::Shared,
     deployment_state::time_left,
     http::{
-        Headers, HttpConn, HttpError, RequestHead, encode_response, encode_response_head,
-        join_small_body, request_framing,
+        Framing, Headers, HttpConn, HttpError, RequestHead, encode_response, encode_response_head,
+        has_body, join_small_body, request_framing,
     },
     message::Response,
     metrics::Decision,
@@ -74,6 +75,64 @@
     Linger,
 }
 
+/// How the service of a request has ended.
+enum Served {
+    /// All requests that were read are answered, or the connection ends.
+    Done(AfterRequest),
+    /// The head of the next request is read, and when its first byte had arrived.
+    Next(RequestHead, Instant),
+}
+
+/// Why a request could not be read completely.
+enum Unread {
+    /// The client has closed the connection, or it has broken.
+    Gone,
+    /// It is refused; the connection can't be used further.
+    Refused(ErrorKind),
+}
+
+/// A request that has its final outcome.
+struct Ended {
+    id: Option<Arc<str>>,
+    outcome: Outcome,
+    arrived: Instant,
+}
+
+impl Ended {
+    /// Returns about how many bytes are held for the response.
+    fn size(&self) -> usize {
+        let response = self.outcome.result.as_ref();
+        response.map_or(0, |response| response.headers.size() + response.body.len())
+    }
+}
+
+/// What comes on a connection while a request of it runs.
+enum NextInput {
+    /// The first bytes of another request.
+    Request,
+    /// The end of the connection.
+    Gone,
+}
+
+/// Logs and counts a request as cancelled when it is dropped.
+struct CancelGuard<'a, C: Clock> {
+    ingress: &'a Ingress<C>,
+    request: &'a ClientRequest,
+}
+
+impl<C: Clock> CancelGuard<'_, C> {
+    /// Ends the guard of a request that has its outcome.
+    fn end(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl<C: Clock> Drop for CancelGuard<'_, C> {
+    fn drop(&mut self) {
+        self.ingress.log_cancelled(self.request);
+    }
+}
+
 /// The HTTP server for clients and for the local upstream.
 pub struct Ingress<C: Clock> {
     shared: Arc<Shared<C>>,
@@ -140,23 +199,60 @@
             return AfterRequest::Close;
         }
         let _active = CountGuard::new(&self.shared.active);
-        let arrived = clock.now();
         conn.set_activity(Activity::Reading);
-        let head = conn.read_request(limits.head_bytes);
-        let head = match timers.within(arrived + limits.head_time, head).await {
-            Some(Ok(head)) => head,
-            Some(Err(HttpError::Closed | HttpError::Broken)) => return AfterRequest::Close,
-            Some(Err(HttpError::HeadTooLarge)) => {
-                return self.refuse_unread(conn, ErrorKind::HeadTooLarge).await;
-            }
-            Some(Err(HttpError::NoMemory)) => {
-                return self.refuse_unread(conn, ErrorKind::Overloaded).await;
-            }
-            Some(Err(_)) => return self.refuse_unread(conn, ErrorKind::BadRequest).await,
-            None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
+        let (mut head, mut arrived) = match self.read_head(conn, limits).await {
+            Ok(read) => read,
+            Err(unread) => return self.end_unread(conn, unread).await,
         };
-        // On the heap, so that an idle connection's task is small.
-        Box::pin(self.serve_request(conn, head, limits, arrived)).await
+        loop {
+            // On the heap, so that an idle connection's task is small.
+            match Box::pin(self.serve_request(conn, head, limits, arrived)).await {
+                Served::Done(after) => return after,
+                Served::Next(next, at) => (head, arrived) = (next, at),
+            }
+            conn.set_activity(Activity::Reading);
+        }
+    }
+
+    /// Reads the head of a request whose first bytes have arrived; returns when they had.
+    async fn read_head(
+        &self,
+        conn: &mut HttpConn,
+        limits: ClientLimits,
+    ) -> Result<(RequestHead, Instant), Unread> {
+        let arrived = self.shared.clock.now();
+        let head = conn.read_request(limits.head_bytes);
+        match self.shared.timers.within(arrived + limits.head_time, head).await {
+            Some(Ok(head)) => Ok((head, arrived)),
+            Some(Err(HttpError::Closed | HttpError::Broken)) => Err(Unread::Gone),
+            Some(Err(HttpError::HeadTooLarge)) => Err(Unread::Refused(ErrorKind::HeadTooLarge)),
+            Some(Err(HttpError::NoMemory)) => Err(Unread::Refused(ErrorKind::Overloaded)),
+            Some(Err(_)) => Err(Unread::Refused(ErrorKind::BadRequest)),
+            None => Err(Unread::Refused(ErrorKind::SlowClient)),
+        }
+    }
+
+    async fn read_body(
+        &self,
+        conn: &mut HttpConn,
+        head: &RequestHead,
+        framing: Framing,
+        limits: ClientLimits,
+    ) -> Result<Body, Unread> {
+        let body_limits = self.body_limits(conn, limits.body_bytes);
+        let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
+        // From now: the head may have waited for the responses to earlier requests.
+        let deadline = self.shared.clock.now()
+            + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
+        let body = conn.read_limited_body(framing, &body_limits);
+        match self.shared.timers.within(deadline, body).await {
+            Some(Ok(body)) => Ok(body),
+            Some(Err(HttpError::BodyTooLarge)) => Err(Unread::Refused(ErrorKind::BodyTooLarge)),
+            Some(Err(HttpError::NoMemory)) => Err(Unread::Refused(ErrorKind::Overloaded)),
+            Some(Err(HttpError::Malformed)) => Err(Unread::Refused(ErrorKind::BadRequest)),
+            Some(Err(_)) => Err(Unread::Gone),
+            None => Err(Unread::Refused(ErrorKind::SlowClient)),
+        }
     }
 
     async fn serve_request(
@@ -165,77 +261,88 @@
         head: RequestHead,
         limits: ClientLimits,
         arrived: Instant,
-    ) -> AfterRequest {
-        let Shared { clock, timers, .. } = &*self.shared;
+    ) -> Served {
         let Ok(framing) = request_framing(&head.headers) else {
-            return self.refuse_unread(conn, ErrorKind::BadRequest).await;
+            return Served::Done(self.refuse_unread(conn, ErrorKind::BadRequest).await);
         };
-        if head.headers.contains_token("expect", "100-continue")
-            && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
-        {
-            return AfterRequest::Close;
+        if head.expects_continue() && conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err() {
+            return Served::Done(AfterRequest::Close);
         }
-        let body_limits = self.body_limits(conn, limits.body_bytes);
-        let client_timeout = head.headers.get(header::DEADLINE).and_then(header::read_millis);
-        let body_deadline =
-            arrived + client_timeout.unwrap_or(limits.idle_time).min(limits.idle_time);
-        let body = conn.read_limited_body(framing, &body_limits);
-        let body = match timers.within(body_deadline, body).await {
-            Some(Ok(body)) => body,
-            Some(Err(HttpError::BodyTooLarge)) => {
-                return self.refuse_unread(conn, ErrorKind::BodyTooLarge).await;
-            }
-            Some(Err(HttpError::Malformed)) => {
-                return self.refuse_unread(conn, ErrorKind::BadRequest).await;
-            }
-            Some(Err(HttpError::NoMemory)) => {
-                return self.refuse_unread(conn, ErrorKind::Overloaded).await;
-            }
-            Some(Err(_)) => return AfterRequest::Close,
-            None => return self.refuse_unread(conn, ErrorKind::SlowClient).await,
+        let body = match self.read_body(conn, &head, framing, limits).await {
+            Ok(body) => body,
+            Err(unread) => return Served::Done(self.end_unread(conn, unread).await),
         };
         conn.set_activity(Activity::Serving);
-        if self.shared.refusing.load(Ordering::SeqCst) {
-            return self.refuse_unread(conn, ErrorKind::Draining).await;
+        if self.is_refusing() {
+            return Served::Done(self.refuse_unread(conn, ErrorKind::Draining).await);
         }
         let close = head.close;
-        let caller = self.shared.caller();
-        let id = head.headers.get(header::REQUEST_ID);
-        let is_nested = id.is_some_and(|id| self.shared.owner.is_nested_call(id));
-        let cfg = self.shared.config();
-        let request = ClientRequest::read(head, body, arrived, cfg.as_deref(), &caller, is_nested);
-        let (id, outcome) = match request {
-            Err(refusal) => (refusal.id.clone(), self.on_refusal(&refusal, arrived)),
-            Ok(request) if !self.ends_before_exit(&request) => {
-                let refusal = request.refuse(ErrorKind::Draining);
-                (refusal.id.clone(), self.on_refusal(&refusal, arrived))
+        let ended = match self.admit(head, body, arrived) {
+            Err(refusal) => {
+                let outcome = self.on_refusal(&refusal, arrived);
+                Ended { id: refusal.id, outcome, arrived }
             }
-            Ok(mut request) => {
-                request.set_parent(self.shared.owner.parent_of(&request.id, &request.service));
-                let outcome =
-                    match select(pin!(self.run_request(&request)), pin!(conn.wait_for_close()))
-                        .await
-                    {
-                        Either::Left((outcome, _)) => Some(outcome),
-                        Either::Right(_) => None,
-                    };
-                let Some(outcome) = outcome else {
-                    self.log_cancelled(&request);
-                    return AfterRequest::Close;
+            Ok(request) => {
+                let bytes = request.size();
+                let pipelines = request.is_idempotent() && !close && !self.shared.is_stopping();
+                let mut run = pin!(self.run_to_end(request));
+                let next = match select(run.as_mut(), pin!(wait_for_next(conn, pipelines))).await {
+                    Either::Left((ended, _)) => Ok(ended),
+                    Either::Right((next, _)) => Err(next),
                 };
-                self.log_ended(&request, &outcome);
-                (Some(request.id.clone()), outcome)
+                match next {
+                    Ok(ended) => ended,
+                    Err(NextInput::Gone) => return Served::Done(AfterRequest::Close),
+                    Err(NextInput::Request) => {
+                        return Box::pin(self.serve_pipelined(conn, run, bytes, limits)).await;
+                    }
+                }
             }
         };
         let close = close || self.shared.is_stopping();
-        let (head, body) = self.encode_outcome(id.as_deref(), outcome, arrived, close);
+        let (head, body) = self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
+        let until = self.shared.clock.now() + WRITE_TIMEOUT;
         let written = conn.write_message(&head, body.chunks());
-        let written = timers.within(clock.now() + WRITE_TIMEOUT, written).await;
-        match written {
+        Served::Done(match self.shared.timers.within(until, written).await {
             Some(Ok(())) if close => AfterRequest::Linger,
             Some(Ok(())) => AfterRequest::KeepAlive,
             _ => AfterRequest::Close,
+        })
+    }
+
+    /// Validates and routes a request that was read completely; refuses one that cannot end before
+    /// the process exits.
+    fn admit(
+        &self,
+        head: RequestHead,
+        body: Body,
+        arrived: Instant,
+    ) -> Result<ClientRequest, Refusal> {
+        let caller = self.shared.caller();
+        let id = head.headers.get(header::REQUEST_ID);
+        let is_nested = id.is_some_and(|id| self.shared.owner.is_nested_call(id));
+        let cfg = self.shared.config();
+        let mut request =
+            ClientRequest::read(head, body, arrived, cfg.as_deref(), &caller, is_nested)?;
+        if !self.ends_before_exit(&request) {
+            return Err(request.refuse(ErrorKind::Draining));
         }
+        request.set_parent(self.shared.owner.parent_of(&request.id, &request.service));
+        Ok(request)
+    }
+
+    /// Runs a request to its final outcome; if it is dropped before, it counts as cancelled.
+    async fn run_to_end(&self, request: ClientRequest) -> Ended {
+        let unfinished = CancelGuard { ingress: self, request: &request };
+        let outcome = self.run_request(&request).await;
+        unfinished.end();
+        self.log_ended(&request, &outcome);
+        Ended { id: Some(request.id.clone()), outcome, arrived: request.arrived }
+    }
+
+    /// Returns whether requests are refused because the process is about to exit.
+    fn is_refusing(&self) -> bool {
+        self.shared.refusing.load(Ordering::SeqCst)
     }
 
     /// Returns whether a request is likely to end before the process exits.
@@ -290,8 +397,7 @@
 
     /// Responds to a request that was not read completely; the connection can't be reused after it.
     async fn refuse_unread(&self, conn: &mut HttpConn, kind: ErrorKind) -> AfterRequest {
-        log::info!(why = kind.answer().name; "request refused before it was read completely");
-        self.shared.metrics.count_decision(Decision::Refuse, kind.answer().name);
+        self.log_unread(kind);
         let outcome = Outcome::refused(kind, REFUSED_EXPECTED_WAIT);
         let (bytes, _) = self.encode_outcome(None, outcome, self.shared.clock.now(), true);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
@@ -301,6 +407,19 @@
         }
     }
 
+    /// Ends the connection of a request that could not be read.
+    async fn end_unread(&self, conn: &mut HttpConn, unread: Unread) -> AfterRequest {
+        match unread {
+            Unread::Gone => AfterRequest::Close,
+            Unread::Refused(kind) => self.refuse_unread(conn, kind).await,
+        }
+    }
+
+    fn log_unread(&self, kind: ErrorKind) {
+        log::info!(why = kind.answer().name; "request refused before it was read completely");
+        self.shared.metrics.count_decision(Decision::Refuse, kind.answer().name);
+    }
+
     fn encode_outcome(
         &self,
         id: Option<&str>,
@@ -310,6 +429,8 @@
     ) -> (Vec<u8>, Body) {
         match outcome.result {
             Ok(Response { status, headers, body }) => {
+                // A client would take a body for the beginning of the next response.
+                let body = if has_body(status) { body } else { Body::default() };
                 let mut head = encode_response_head(status, &headers, body.len(), close);
                 let is_joined = join_small_body(&mut head, &body).is_empty();
                 (head, if is_joined { Body::default() } else { body })
@@ -340,6 +461,17 @@
     }
 }
 
+/// Waits for the end of the connection, and if `pipelines`, also for the next request.
+async fn wait_for_next(conn: &mut HttpConn, pipelines: bool) -> NextInput {
+    if pipelines && matches!(conn.wait_for_input().await, Ok(true)) {
+        return NextInput::Request;
+    }
+    if !pipelines {
+        conn.wait_for_close().await;
+    }
+    NextInput::Gone
+}
+
 /// Returns the version of a configuration, or 0 if there is none.
 fn version_of(cfg: Option<&Config>) -> u64 {
     cfg.map_or(0, |cfg| cfg.version)
