Keep ordinary requests served while a crowd holds the memory

Three causes closed an ordinary request's connection while a crowd was connected: connections that waited for memory did not notice that they were told to close; small parts of many chunked bodies filled the part of the account that new connections need; in a burst, connections were accepted and closed while those that were told to close still had their descriptors. Waiting connections are now told, connections and responses have a part of the account of their own, and accepting pauses until a closing connection has left.

--- a/crates/mesh/src/memory_budget.rs
+++ b/crates/mesh/src/memory_budget.rs
@@ -12,7 +12,8 @@
 /// pages, queues of the inner connections, buffers of the kernel.
 const UNSEEN_FRACTION: usize = 8;
 
-/// Fraction of the bound that bulk holders leave to small ones.
+/// Fraction of the bound that bulk holders leave to others. Half of it is for connections and responses
+/// alone: with many small parts of bodies in all of it, new connections were refused.
 const RESERVE_FRACTION: usize = 6;
 
 /// Smallest bound, in bytes, whatever the memory of the process.
@@ -56,9 +57,11 @@
 /// Which part of the bound a reservation may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
-    /// All of it.
+    /// All of it: connections and responses, without which nothing is served.
     Whole,
-    /// What is not reserved for small holders.
+    /// All but a part for those: large heads, and bodies of up to [`SMALL_BYTES`].
+    Small,
+    /// What is left to large bodies.
     Bulk,
 }
 
@@ -102,6 +105,7 @@
     pub fn try_reserve(&mut self, holder: Holder, share: Share, bytes: usize) -> bool {
         let limit = match share {
             Share::Whole => self.bound,
+            Share::Small => self.bound - self.bound / RESERVE_FRACTION / 2,
             Share::Bulk => self.bulk_bound(),
         };
         let fits = bytes <= limit.saturating_sub(self.held());
--- a/crates/mesh/tests/mesh/memory_budget.rs
+++ b/crates/mesh/tests/mesh/memory_budget.rs
@@ -14,19 +14,19 @@
     #[test]
     fn bound_is_never_exceeded(
         memory_mb in 1_usize..600,
-        steps in prop::collection::vec((0..4_usize, any::<bool>(), any::<bool>(), 0..40_000_000_usize), 0..200),
+        steps in prop::collection::vec((0..4_usize, 0..3_usize, any::<bool>(), 0..40_000_000_usize), 0..200),
     ) {
         let mut budget = MemoryBudget::for_process(memory_mb * 1_000_000);
         let mut held: Vec<(Holder, usize)> = Vec::new();
-        for (index, bulk, release, bytes) in steps {
+        for (index, share, release, bytes) in steps {
             let holder = Holder::ALL[index];
-            let share = if bulk { Share::Bulk } else { Share::Whole };
+            let share = [Share::Whole, Share::Small, Share::Bulk][share];
             if release && !held.is_empty() {
                 let (holder, bytes) = held.swap_remove(bytes % held.len());
                 budget.release(holder, bytes);
             } else if budget.try_reserve(holder, share, bytes) {
                 held.push((holder, bytes));
-                prop_assert!(!bulk || budget.held() <= budget.bulk_bound());
+                prop_assert!(share != Share::Bulk || budget.held() <= budget.bulk_bound());
             }
             prop_assert!(budget.held() <= budget.bound());
             prop_assert_eq!(budget.held(), held.iter().map(|(_, bytes)| bytes).sum::<usize>());
--- a/src/mesh/body.rs
+++ b/src/mesh/body.rs
@@ -1,8 +1,9 @@
 //! Bodies of messages, held once and shared by all who send them.
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc};
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use oleandertiller_mesh::memory_budget::{Activity, Holder, SMALL_BYTES, Share};
 
 use super::{
@@ -178,9 +179,12 @@
 
     async fn reserve(&self, size: usize) -> Result<Option<MemoryGuard>, HttpError> {
         let Some((account, holder)) = &self.limits.account else { return Ok(None) };
-        // Responses are finished work, which bodies that are still to run must not hold up.
-        let small = self.len() + size <= SMALL_BYTES || *holder == Holder::Responses;
-        let share = if small { Share::Whole } else { Share::Bulk };
+        let share = match holder {
+            // Finished work, which bodies that are still to run must not hold up.
+            Holder::Responses => Share::Whole,
+            _ if self.len() + size <= SMALL_BYTES => Share::Small,
+            _ => Share::Bulk,
+        };
         let guard = match account.try_reserve(*holder, share, size) {
             Some(guard) => guard,
             None => {
@@ -188,7 +192,11 @@
                 if let Some(client) = &self.limits.client {
                     client.limit_input();
                 }
-                let guard = account.reserve(*holder, share, size).await;
+                let reserve = pin!(account.reserve(*holder, share, size));
+                let guard = match select(reserve, pin!(self.told_to_close())).await {
+                    Either::Left((guard, _)) => guard,
+                    Either::Right(_) => return Err(HttpError::Broken),
+                };
                 self.set_activity(Activity::Reading);
                 guard.ok_or(HttpError::NoMemory)?
             }
@@ -199,6 +207,13 @@
         Ok(Some(guard))
     }
 
+    async fn told_to_close(&self) {
+        match &self.limits.client {
+            Some(client) => client.told_to_close().await,
+            None => std::future::pending().await,
+        }
+    }
+
     fn set_activity(&self, activity: Activity) {
         if let Some(client) = &self.limits.client {
             client.on_progress(activity, self.len());
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -71,7 +71,7 @@
         return Err(MessageError::Malformed);
     }
     if first.len() == len
-        && let Some(bytes) = limits.hold_now(first.clone(), Share::Whole)
+        && let Some(bytes) = limits.hold_now(first.clone(), Share::Small)
     {
         return Ok(bytes.into());
     }
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -392,7 +392,7 @@
     }
 
     async fn read_chunks(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
-        self.grow_input(CHUNKED_INPUT_BYTES)?;
+        self.grow_input(CHUNKED_INPUT_BYTES, 1)?;
         let mut body = BodyBuilder::new(limits, 0);
         loop {
             let size = self.read_chunk_size().await?;
@@ -497,21 +497,21 @@
             (self.start, self.end) = (0, self.end - self.start);
         }
         if self.end == self.input.len() {
-            self.grow_input((2 * self.input.len()).max(IDLE_INPUT_BYTES))?;
+            self.grow_input((2 * self.input.len()).max(IDLE_INPUT_BYTES), HEAD_COPIES)?;
         }
         let read = self.stream.read(&mut self.input[self.end..]).await?;
         self.end += read;
         Ok(read)
     }
 
-    /// Makes the input buffer at least `size` bytes large.
-    fn grow_input(&mut self, size: usize) -> io::Result<()> {
+    /// Makes the input buffer at least `size` bytes large; the account counts it `copies` times.
+    fn grow_input(&mut self, size: usize, copies: usize) -> io::Result<()> {
         if size <= self.input.len() {
             return Ok(());
         }
         if let Some(client) = &mut self.client
             && size > IDLE_INPUT_BYTES
-            && !client.try_resize(HEAD_COPIES * size)
+            && !client.try_resize(copies * size)
         {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -35,10 +35,11 @@
         Headers, HttpConn, HttpError, RequestHead, encode_response, encode_response_head,
         join_small_body, request_framing,
     },
+    memory::ClientGuard,
     message::Response,
     metrics::Decision,
 };
-use crate::node::accept::{CountGuard, accept};
+use crate::node::accept::{CountGuard, accept_when};
 
 /// Limits on clients while no configuration is known; similar to those that operators configure.
 const DEFAULT_LIMITS: ClientLimits = ClientLimits {
@@ -84,12 +85,22 @@
 
     /// Accepts connections until the stop channel is closed.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: Receiver<()>) {
-        let serve = |stream, _| self.clone().serve_connection(stream, stop.clone());
-        accept(listener, stop.clone(), serve).await;
+        // Decided before the next connection is accepted, so that a burst finds its bound.
+        let serve = |stream: TcpStream, _| {
+            let client = self.shared.memory.admit_client(&stream);
+            let admitted = client.map(|client| (stream, client));
+            self.clone().serve_connection(admitted, stop.clone())
+        };
+        let ready = || self.shared.memory.room_for_client();
+        accept_when(listener, stop.clone(), ready, serve).await;
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, stop: Receiver<()>) {
-        let Some(client) = self.shared.memory.admit_client(&stream) else {
+    async fn serve_connection(
+        self: Arc<Self>,
+        admitted: Option<(TcpStream, ClientGuard)>,
+        stop: Receiver<()>,
+    ) {
+        let Some((stream, client)) = admitted else {
             self.shared.metrics.count_decision(Decision::Refuse, "no-room-for-connection");
             return;
         };
--- a/src/mesh/memory.rs
+++ b/src/mesh/memory.rs
@@ -30,7 +30,11 @@
 const MAX_ATTEMPTS: usize = 20;
 
 /// Fraction of the bound on client connections by which those that are about to close may exceed it.
-const CLOSING_FRACTION: usize = 16;
+const CLOSING_FRACTION: usize = 8;
+
+/// Longest time for which no connection is accepted because others are about to close; then the next
+/// one is closed at once.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(200);
 
 /// Receive buffer of the socket of a client whose body waits for memory, in bytes: what arrives
 /// meanwhile takes memory, too.
@@ -43,6 +47,7 @@
     short: AtomicBool,
     clients: Mutex<Clients>,
     max_clients: usize,
+    client_left: Event,
 }
 
 #[derive(Default)]
@@ -60,6 +65,7 @@
             short: AtomicBool::new(false),
             clients: Mutex::default(),
             max_clients: max_client_connections(descriptors),
+            client_left: Event::new(),
         }
     }
 
@@ -127,7 +133,12 @@
     /// Registers a client connection; returns `None` if it cannot be served. Above the bound on
     /// connections, another one that does nothing is closed for it.
     pub fn admit_client(self: &Arc<Self>, stream: &TcpStream) -> Option<ClientGuard> {
-        let memory = self.try_reserve(Holder::Connections, Share::Whole, CONNECTION_BYTES)?;
+        let memory = self.try_reserve(Holder::Connections, Share::Whole, CONNECTION_BYTES);
+        if memory.is_none() {
+            // So that the next one finds memory.
+            self.close_stalled();
+        }
+        let memory = memory?;
         let mut clients = self.lock_clients();
         if clients.entries.len() >= self.max_clients {
             let open = clients.entries.values().filter(|entry| !entry.is_closing());
@@ -136,7 +147,7 @@
                 least_active(open)?.close("descriptors");
             }
             // Those that were told to close still have their descriptors.
-            if clients.entries.len() >= self.max_clients + self.max_clients / CLOSING_FRACTION {
+            if clients.entries.len() >= self.max_entries() {
                 return None;
             }
         }
@@ -147,11 +158,28 @@
             stream: stream.clone(),
             state: Mutex::new(state),
             closing: AtomicBool::new(false),
+            told_to_close: Event::new(),
         });
         clients.entries.insert(id, entry.clone());
         Some(ClientGuard { account: self.clone(), id, entry, memory })
     }
 
+    /// Waits for a while if the connections that were told to close still have the descriptors that
+    /// another one would need.
+    pub async fn room_for_client(&self) {
+        if self.client_count() < self.max_entries() {
+            return;
+        }
+        let left = self.client_left.listen();
+        if self.client_count() >= self.max_entries() {
+            let _ = timeout(MAX_ROOM_WAIT, left).await;
+        }
+    }
+
+    fn max_entries(&self) -> usize {
+        self.max_clients + self.max_clients / CLOSING_FRACTION
+    }
+
     fn release(&self, holder: Holder, bytes: usize) {
         let has_room = {
             let mut budget = self.lock();
@@ -187,7 +215,7 @@
     pub fn try_resize(&mut self, bytes: usize) -> bool {
         if bytes < self.bytes {
             self.account.release(self.holder, self.bytes - bytes);
-        } else if !self.account.lock().try_reserve(self.holder, Share::Whole, bytes - self.bytes) {
+        } else if !self.account.lock().try_reserve(self.holder, Share::Small, bytes - self.bytes) {
             return false;
         }
         self.bytes = bytes;
@@ -206,9 +234,19 @@
     stream: TcpStream,
     state: Mutex<ClientState>,
     closing: AtomicBool,
+    told_to_close: Event,
 }
 
 impl ClientEntry {
+    /// Waits until the connection is to be closed for others; one that waits for memory reads no
+    /// input that would show it.
+    pub async fn told_to_close(&self) {
+        let told = self.told_to_close.listen();
+        if !self.is_closing() {
+            told.await;
+        }
+    }
+
     /// Records that the connection has made progress; `held` is the memory of its request's body.
     pub fn on_progress(&self, activity: Activity, held: usize) {
         let since: Instant = SystemClock.now();
@@ -236,6 +274,7 @@
             log::info!(needed = needed, held = held; "stalled client connection closed");
             // An error means that it is closed already.
             let _ = self.stream.shutdown(std::net::Shutdown::Both);
+            self.told_to_close.notify(usize::MAX);
         }
     }
 }
@@ -263,5 +302,6 @@
 impl Drop for ClientGuard {
     fn drop(&mut self) {
         self.account.lock_clients().entries.remove(&self.id);
+        self.account.client_left.notify(1);
     }
 }
--- a/src/node/accept.rs
+++ b/src/node/accept.rs
@@ -23,9 +23,20 @@
     listener: TcpListener,
     stop: Receiver<()>,
     serve: impl Fn(TcpStream, SocketAddr) -> F,
+) {
+    accept_when(listener, stop, || std::future::ready(()), serve).await;
+}
+
+/// Accepts connections as [`accept`] does, each after the future that `ready` returns has completed.
+pub async fn accept_when<F: Future<Output = ()> + Send + 'static, R: Future<Output = ()>>(
+    listener: TcpListener,
+    stop: Receiver<()>,
+    ready: impl Fn() -> R,
+    serve: impl Fn(TcpStream, SocketAddr) -> F,
 ) {
     let mut stopped = pin!(stop.recv());
     loop {
+        ready().await;
         let accepted = match select(pin!(listener.accept()), &mut stopped).await {
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => return,
