--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -584,8 +584,8 @@
         let unknown =
             |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE, zones: Vec::new() };
         match decoded {
-            Ok(Ok(Reply { end, state })) => {
-                let reply = Reply { end: end.with_valid_status(), state };
+            Ok(Ok(Reply { end, state, zones })) => {
+                let reply = Reply { end: end.with_valid_status(), state, zones };
                 self.on_reply(&reply, offer, record, sent);
                 Ok(reply)
             }
