Keep a part of the retry budget for nested calls

Cause: while all upstreams of a service refuse part of their requests at once, nested calls without a retry fail the runs that they belong to; the budget had been used up by hedges and by requests whose clients can come back. Change: hedges use at most 0.4 of the allowed retries, requests of clients 0.7, nested calls all.

--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -26,15 +26,22 @@
 /// count in different windows.
 const SAFETY_FACTOR: f64 = 0.7;
 
-/// Share of the allowed retries that hedges may use. When upstreams refuse or fail a part of their
-/// requests at once, hundreds of requests a second need one retry each, and that is sure to help,
-/// while a hedged request may still be answered by its first upstream.
-const HEDGE_SHARE: f64 = 0.5;
+/// Share of the allowed retries that requests of clients may use. The rest is for nested calls: if one
+/// fails, the run that it belongs to is lost as well, while a client can send its request again. When
+/// upstreams refuse or fail a part of their requests at once, hundreds of requests a second need a
+/// retry, which is more than the budget allows.
+const CLIENT_SHARE: f64 = 0.7;
+
+/// Share of the allowed retries that hedges may use: unlike one that was refused, a hedged request may
+/// still be answered by its first upstream.
+const HEDGE_SHARE: f64 = 0.4;
 
 /// What a retry is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
-    /// An upstream has refused the request, or its run has failed.
+    /// An upstream has refused a nested call, or its run has failed.
+    NestedFailed,
+    /// An upstream has refused a client's request, or its run has failed.
     Failed,
     /// An upstream has not answered for longer than usual.
     Slow,
@@ -44,7 +51,8 @@
     /// Returns the share of the allowed retries that may be used up for this reason.
     fn budget_share(self) -> f64 {
         match self {
-            Self::Failed => 1.0,
+            Self::NestedFailed => 1.0,
+            Self::Failed => CLIENT_SHARE,
             Self::Slow => HEDGE_SHARE,
         }
     }
--- a/crates/mesh/tests/mesh/capacity.rs
+++ b/crates/mesh/tests/mesh/capacity.rs
@@ -7,6 +7,7 @@
     capacity_view::{CapacityView, Change, MAX_REPORT_AGE, Need, Shortage, Size, Verdict},
     nested_calls::NestedCalls,
     retry_after::retry_after,
+    upstream_capacity::UpstreamCapacity,
 };
 use oleandertiller_model::{NodeName, ServiceName};
 use proptest::prelude::*;
@@ -57,6 +58,7 @@
         slots: 9,
         slowness: 100,
         expected_wait: wait,
+        capacity: UpstreamCapacity::UNKNOWN,
         starts_per_minute: 600,
         turned_away: turned_away.map(|rank| (PriorityClass::Timely, rank)),
         calls_wait: Duration::ZERO,
--- a/crates/mesh/tests/mesh/uneven.rs
+++ b/crates/mesh/tests/mesh/uneven.rs
@@ -13,6 +13,7 @@
     },
     peer_health::PeerHealth,
     placement::{Candidate, Position, order_by_cost},
+    sender_share::SenderId,
     zone_capacity::ZoneCapacity,
 };
 use oleandertiller_model::{NodeName, ZoneName};
@@ -166,6 +167,7 @@
                     allow_slow: waited >= OBJECTIVE.mul_f64(0.15),
                     class: PriorityClass::Timely,
                     at_most_once: false,
+                    sender: SenderId::default(),
                 };
                 seen.offers += u32::from(owner != ingress);
                 if queues[owner].admit(attempt, now) != Admission::Run {
--- a/crates/mesh/tests/mesh/upstream_capacity.rs
+++ b/crates/mesh/tests/mesh/upstream_capacity.rs
@@ -7,6 +7,7 @@
 
 use oleandertiller_mesh::{
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, PriorityClass, UpstreamLoad},
+    sender_share::SenderId,
     upstream_capacity::{FailingState, KneeEstimate},
 };
 
@@ -54,6 +55,7 @@
         allow_slow: false,
         class: PriorityClass::Timely,
         at_most_once: false,
+        sender: SenderId::default(),
     };
     let busy = UpstreamLoad { running: 6, waiting: 3, slots: SLOTS, slowness: Some(100) };
     queue.on_load(busy, now);
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -240,7 +240,11 @@
             let now = self.shared.clock.now();
             let may_retry = request.is_idempotent() && may_try_another && now < request.deadline;
             let retry = may_retry
-                && self.shared.deployment().take_retry(&request.service, RetryReason::Failed, now);
+                && self.shared.deployment().take_retry(
+                    &request.service,
+                    request.retry_reason(),
+                    now,
+                );
             if may_retry {
                 let reason = if retry { "failed" } else { "no-budget" };
                 self.shared.metrics.count_decision(Decision::Retry, reason);
@@ -478,8 +482,11 @@
                 attempts.record_hop(&record.node, "refused-by-upstream");
                 attempts.lock().excluded.push(record.node.clone());
                 let now = self.shared.clock.now();
-                let retry =
-                    self.shared.deployment().take_retry(&request.service, RetryReason::Failed, now);
+                let retry = self.shared.deployment().take_retry(
+                    &request.service,
+                    request.retry_reason(),
+                    now,
+                );
                 if !retry {
                     attempts.lock().expected_wait = Some(state.expected_wait);
                 }
--- a/src/mesh/ingress/request.rs
+++ b/src/mesh/ingress/request.rs
@@ -7,6 +7,7 @@
 
 use oleandertiller_mesh::{
     config::{Config, RetrySafety, Route},
+    retry_budget::RetryReason,
     tenants::{ApiKey, Tenant},
 };
 use oleandertiller_model::{ErrorKind, ServiceName};
@@ -186,6 +187,14 @@
         self.target.len() + self.headers.size() + self.body.len()
     }
 
+    /// Returns what a retry after a failure is for.
+    pub fn retry_reason(&self) -> RetryReason {
+        match self.parent {
+            Some(_) => RetryReason::NestedFailed,
+            None => RetryReason::Failed,
+        }
+    }
+
     /// Returns whether the request is idempotent, so that it may run more than once.
     pub fn is_idempotent(&self) -> bool {
         self.route.retry_safety == RetrySafety::Idempotent
