--- a/src/mesh/usage_reporter.rs
+++ b/src/mesh/usage_reporter.rs
@@ -29,7 +29,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which counts are collected; those of an owner that ends are lost since the last time.
-const COLLECT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// With [`CHECK_INTERVAL`] it makes about a second.
+const COLLECT_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Number of owners that keep a copy of the reporter's own counts, which end with its process.
 const BACKUPS: usize = 3;
