--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -185,6 +185,11 @@
 }
 
 impl Ticket {
+    /// Returns the rank of the request.
+    pub fn rank(&self) -> u32 {
+        self.rank
+    }
+
     fn priority(&self) -> Priority {
         (self.class, self.rank)
     }
@@ -385,7 +390,7 @@
         if is_first && self.may_start(&request) && self.running < limit {
             return match self.check_rates(reserve, now) {
                 None => {
-                    self.start(&request, now);
+                    self.start(&request, false, now);
                     Admission::Run
                 }
                 Some(_) if may_wait => {
@@ -440,7 +445,7 @@
         self.waiting.remove(&ticket);
         self.granted.insert(ticket);
         let turned_away = self.turned_away;
-        self.start(&request, now);
+        self.start(&request, due, now);
         if due {
             // Its start is no sign of capacity for others of its priority.
             self.turned_away = turned_away;
@@ -595,7 +600,7 @@
     }
 
     /// Records the start of a request that [`Self::check_rates`] allows.
-    fn start(&mut self, request: &AdmissionRequest, now: Instant) {
+    fn start(&mut self, request: &AdmissionRequest, due: bool, now: Instant) {
         let priority = request.priority();
         if let Some((at, highest)) = self.turned_away
             && priority >= highest
@@ -605,7 +610,7 @@
             self.turned_away = (priority == highest).then_some((at, next));
         }
         let waiting = self.waiting.keys().map(Ticket::priority).collect();
-        self.ranks.on_start(priority, &waiting);
+        self.ranks.on_start(priority, due, &waiting);
         self.senders.on_start(request.sender, now);
         self.running += 1;
         self.limit.on_start();
--- a/crates/mesh/src/capacity_view.rs
+++ b/crates/mesh/src/capacity_view.rs
@@ -99,7 +99,7 @@
     /// Offer it; capacity is available or unknown.
     Offer,
     /// Offer it although the service is full.
-    Probe,
+    Probe(Shortage),
     /// Refuse it now.
     Refuse {
         /// What is short.
@@ -207,6 +207,18 @@
         }
     }
 
+    /// Returns the factor by which requests that start now take longer than usual, if there are
+    /// enough reports. Requests start at owners that are not in a slow period, so the lower quartile
+    /// counts; it rises when all upstreams are cold.
+    pub fn slowness(&self, service: &ServiceName, now: Instant) -> Option<f64> {
+        let view = self.services.get(service)?;
+        let fresh = view.reports.values().filter(|report| report.is_fresh(now));
+        let mut percents: Vec<_> = fresh.map(|report| report.state.slowness).collect();
+        percents.sort_unstable();
+        let enough = percents.len() >= MIN_REPORTS;
+        enough.then(|| f64::from(percents[percents.len() / 4].max(100)) / 100.0)
+    }
+
     /// Returns whether an owner is known to have no capacity for a request.
     pub fn is_full(&self, node: &NodeName, need: &Need<'_>, now: Instant) -> bool {
         let report = self.services.get(need.service).and_then(|view| view.reports.get(node));
@@ -267,7 +279,7 @@
         let patience = need.max_wait.as_secs_f64() / PROBE_WAIT.as_secs_f64();
         let probe_share = probe_share / patience.max(1.0);
         if draw < probe_share {
-            return Verdict::Probe;
+            return Verdict::Probe(shortage);
         }
         let expected_wait = self.plan_return(need.service, wait, size, now);
         Verdict::Refuse { shortage, expected_wait }
--- a/crates/mesh/src/latency_estimate.rs
+++ b/crates/mesh/src/latency_estimate.rs
@@ -27,17 +27,27 @@
     mean: f64,
     /// Estimate of [`QUANTILE`], in seconds.
     quantile: f64,
+    /// Slowness of the service at the time of the answers that the mean comes from.
+    slowness: f64,
 }
 
+/// Maximum factor between the mean and the expected time, in case that the upstreams' reports of
+/// their slowness are wrong.
+const MAX_SLOWNESS_CHANGE: f64 = 3.0;
+
 impl LatencyEstimate {
     /// Creates an estimate that assumes a share of the route's objective.
     pub fn new(objective: Duration) -> Self {
         let initial = objective.as_secs_f64() * INITIAL_OBJECTIVE_SHARE;
-        Self { mean: initial, quantile: initial }
+        Self { mean: initial, quantile: initial, slowness: 1.0 }
     }
 
-    /// Records the time from dispatch to the answer.
-    pub fn record(&mut self, time: Duration) {
+    /// Records the time from dispatch to the answer, and the slowness of the service meanwhile, if
+    /// known.
+    pub fn record(&mut self, time: Duration, slowness: Option<f64>) {
+        if let Some(slowness) = slowness {
+            self.slowness += (slowness - self.slowness) * SMOOTHING_FACTOR;
+        }
         let time = time.as_secs_f64();
         self.mean += (time - self.mean) * SMOOTHING_FACTOR;
         let step = self.mean * SMOOTHING_FACTOR;
@@ -51,6 +61,14 @@
         Duration::from_secs_f64(self.mean)
     }
 
+    /// Returns the expected time of a request that starts while the service has a slowness. When all
+    /// upstreams become cold or warm together, the mean alone would follow after many answers only.
+    pub fn expected(&self, slowness: Option<f64>) -> Duration {
+        let change = slowness.map_or(1.0, |slowness| slowness / self.slowness);
+        let change = change.clamp(1.0 / MAX_SLOWNESS_CHANGE, MAX_SLOWNESS_CHANGE);
+        Duration::from_secs_f64(self.mean * change)
+    }
+
     /// Returns the time within which nine of ten answers come.
     pub fn usual_limit(&self) -> Duration {
         Duration::from_secs_f64(self.quantile)
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -297,9 +297,16 @@
     }
 
     /// Records the time from dispatch to answer of a request.
-    pub fn record_answer_time(&mut self, route: &Arc<str>, time: Duration) {
+    pub fn record_answer_time(
+        &mut self,
+        route: &Arc<str>,
+        service: &ServiceName,
+        time: Duration,
+        now: Instant,
+    ) {
+        let slowness = self.capacity.slowness(service, now);
         if let Some(estimate) = self.latencies.get_mut(route) {
-            estimate.record(time);
+            estimate.record(time, slowness);
         }
     }
 
@@ -311,10 +318,16 @@
         *longest - time_left
     }
 
-    /// Returns the mean time from dispatch to answer of a route's requests.
-    pub fn mean_answer_time(&mut self, route: &Route) -> Duration {
+    /// Returns the expected time from dispatch to answer of a request that starts now.
+    pub fn expected_answer_time(
+        &mut self,
+        route: &Route,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Duration {
+        let slowness = self.capacity.slowness(service, now);
         let estimate = self.latencies.entry(route.name.clone());
-        estimate.or_insert_with(|| LatencyEstimate::new(route.objective)).mean()
+        estimate.or_insert_with(|| LatencyEstimate::new(route.objective)).expected(slowness)
     }
 
     /// Returns the time within which most of a route's answers come; zero if none has come yet.
--- a/src/mesh/ingress/admission.rs
+++ b/src/mesh/ingress/admission.rs
@@ -46,8 +46,8 @@
         };
         match verdict {
             Verdict::Offer => None,
-            Verdict::Probe => {
-                count(Admission::Probe, "service-full");
+            Verdict::Probe(shortage) => {
+                count(Admission::Probe, shortage.name());
                 None
             }
             Verdict::Refuse { shortage, expected_wait } => {
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -348,7 +348,7 @@
             .map_or(Duration::ZERO, |remaining| deployment.waited(&request.route.name, remaining));
         let expected_latency = now.saturating_duration_since(request.arrived)
             + waited
-            + deployment.mean_answer_time(&request.route);
+            + deployment.expected_answer_time(&request.route, &request.service, now);
         match request.route.objective.checked_sub(expected_latency) {
             Some(left) => (PriorityClass::Timely, now + left),
             None => (PriorityClass::Late, request.deadline),
@@ -684,7 +684,8 @@
             _ => {}
         }
         if matches!(&reply.end, End::Answered(response) if response.status < 500) {
-            deployment.record_answer_time(&offer.route, now.saturating_duration_since(sent));
+            let time = now.saturating_duration_since(sent);
+            deployment.record_answer_time(&offer.route, &offer.service, time, now);
         }
     }
 }
