--- a/src/mesh/body.rs
+++ b/src/mesh/body.rs
@@ -152,7 +152,7 @@
     }
 
     /// Returns the number of bytes so far.
-    pub fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.body.len() + self.filled
     }
 
