Count late peers, slow machines and overdue runs; use cold upstreams earlier

Cause: a node that gets the processor late was asked like any other, fed its zone and led rollouts if its name came first. A hanging upstream looked idle to its own node, whose state is known exactly since the capacity of upstreams is learnt: processes::hanging_upstream_does_not_delay_requests failed with 504 once the retry budget was used up. The rate of cold upstreams was used only once the warm ones were full. A draining owner must not look full, or a request would be offered to it again and again without a pause. Change: a reply tells how long the owner had the offer, and the rest of the time is a cost of the peer, decaying with 5 s. A node whose timers are late says so in its record, at most once in 20 s; it is the source of the change feed and tries to lead a rollout after the others, by the same records at all nodes. Runs given up after longer than nine in ten answers take count as 0.6 of a failed one in the order of owners. Less of the slowness of cold owners counts where fewer than 60% of the offers in the zone are started. Not measured under the users' load.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -47,6 +47,10 @@
 /// Weight of the newest result in the smoothed failure rate.
 const FAILURE_RATE_SMOOTHING: f64 = 0.15;
 
+/// Part of a failed run that a run counts as that took too long for its caller. A tenth of all runs
+/// are hedged, and most of these are only slow.
+const OVERDUE_WEIGHT: f64 = 0.6;
+
 /// Time after which the failure rate has decayed to about a third.
 const FAILURE_RATE_DECAY: Duration = Duration::from_secs(4);
 
@@ -234,12 +238,26 @@
     starved: Option<(Instant, (PriorityClass, u32))>,
     /// Share of recent runs that failed, and when the last run ended.
     failure_rate: (f64, Option<Instant>),
+    /// The same for runs that took too long for their callers.
+    overdue_rate: (f64, Option<Instant>),
     /// Slots that are worth using when all are needed.
     useful_slots: u32,
     uncounted: UncountedRequests,
     slowness_estimate: SlownessEstimate,
 }
 
+/// Adds a result to a smoothed share.
+fn smooth(share: &mut (f64, Option<Instant>), result: f64, now: Instant) {
+    let previous = decayed(*share, now);
+    *share = (previous + (result - previous) * FAILURE_RATE_SMOOTHING, Some(now));
+}
+
+/// Returns what remains of a smoothed share.
+fn decayed((share, at): (f64, Option<Instant>), now: Instant) -> f64 {
+    let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+    share * (-age.as_secs_f64() / FAILURE_RATE_DECAY.as_secs_f64()).exp()
+}
+
 impl Default for AdmissionQueue {
     fn default() -> Self {
         Self {
@@ -257,6 +275,7 @@
             last_number: 0,
             starved: None,
             failure_rate: (0.0, None),
+            overdue_rate: (0.0, None),
             useful_slots: u32::MAX,
             uncounted: UncountedRequests::default(),
             slowness_estimate: SlownessEstimate::default(),
@@ -431,17 +450,21 @@
 
     /// Records the end of a run; `failed` if no good answer came from the upstream.
     pub fn record_outcome(&mut self, failed: bool, now: Instant) {
-        let result = if failed { 1.0 } else { 0.0 };
-        let previous = self.failure_rate(now);
-        self.failure_rate = (previous + (result - previous) * FAILURE_RATE_SMOOTHING, Some(now));
+        smooth(&mut self.failure_rate, if failed { 1.0 } else { 0.0 }, now);
+        smooth(&mut self.overdue_rate, 0.0, now);
+    }
+
+    /// Records a run that its caller gave up after longer than most answers take, or at its
+    /// deadline. Most of these are slow rather than failed, so requests that run at most once are
+    /// still admitted, but an upstream that hangs must not look idle.
+    pub fn record_overdue(&mut self, now: Instant) {
+        smooth(&mut self.overdue_rate, OVERDUE_WEIGHT, now);
     }
 
     /// Returns the share of recent runs that failed. It decays, so that an upstream that was
     /// avoided is tried again.
     fn failure_rate(&self, now: Instant) -> f64 {
-        let (rate, at) = self.failure_rate;
-        let age = at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        rate * (-age.as_secs_f64() / FAILURE_RATE_DECAY.as_secs_f64()).exp()
+        decayed(self.failure_rate, now)
     }
 
     /// Returns the number of waiting requests.
@@ -475,11 +498,15 @@
 
     /// Returns what is learnt of the upstream's capacity.
     pub fn capacity(&self, now: Instant) -> UpstreamCapacity {
-        let failures = (self.failure_rate(now) * 100.0).round() as u8;
+        let bad = self.failure_rate(now) + decayed(self.overdue_rate, now);
+        let failures = (bad.min(1.0) * 100.0).round() as u8;
         UpstreamCapacity {
             failures,
             free: self.free(PriorityClass::Timely, now),
             usual_slowness: self.slowness_estimate.usual().round() as u16,
+            cold_ms: self.cold_until.map_or(0, |until| {
+                until.saturating_duration_since(now).as_millis().min(u16::MAX.into()) as u16
+            }),
         }
     }
 
@@ -498,9 +525,10 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the number of requests of a class that could start at once at normal speed.
+    /// Returns the number of requests of a class that could start at once at normal speed, if the
+    /// queue is open: an ingress takes 0 for a lack of capacity, for which it may wait here.
     fn free(&self, class: PriorityClass, now: Instant) -> u16 {
-        if self.closed_reason.is_some() || !self.waiting.is_empty() {
+        if !self.waiting.is_empty() {
             return 0;
         }
         let limit = if class == PriorityClass::Nested { self.slots } else { self.soft_limit() };
--- a/crates/mesh/src/change_feed.rs
+++ b/crates/mesh/src/change_feed.rs
@@ -1,7 +1,8 @@
 //! How changes of the store reach the nodes of a zone with few calls.
 //!
 //! If every node watched the store, each change would cost a call of every node. Instead the first
-//! node of a zone, by name, watches the store, and the other nodes of the zone watch that node. A
+//! node of a zone, by name, watches the store, and the other nodes of the zone watch that node; one
+//! on a slow machine comes after the others. A
 //! node whose source is gone, is behind or cannot reach the store watches the store itself.
 //!
 //! A watch is silent if nothing changes, but also if the store is out of reach. That nothing has
@@ -251,8 +252,10 @@
             let is_live = member.is_listed() && member.is_reachable(now) && !record.stopping;
             record.zone == *zone && (is_own || is_live)
         });
-        let first = eligible.map(|member| &member.record).min_by(|a, b| a.node.cmp(&b.node))?;
-        (first.node < *own).then(|| first.clone())
+        let first = eligible
+            .map(|member| &member.record)
+            .min_by(|a, b| a.slow.cmp(&b.slow).then_with(|| a.node.cmp(&b.node)))?;
+        (first.node != *own).then(|| first.clone())
     }
 
     /// Records that the source did not answer.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`leadership`]: which process leads the rollouts of a service.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
+//! - [`node_health`]: whether the machine of a node is slow.
 //! - [`peer_health`]: what an ingress knows of one owner.
 //! - [`placement`]: in which order an ingress asks the owners.
 //! - [`request_limit`]: how many requests an upstream in need gets.
@@ -32,6 +33,7 @@
 pub mod leadership;
 pub mod lease;
 pub mod members;
+pub mod node_health;
 pub mod peer_health;
 pub mod placement;
 pub mod request_limit;
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -38,6 +38,9 @@
     pub zone: ZoneName,
     /// Whether the process is about to stop.
     pub stopping: bool,
+    /// Whether its machine is slow, so that others should serve and lead if they can.
+    #[serde(default)]
+    pub slow: bool,
     /// Last announcement of its local upstream, if there is any.
     pub upstream: Option<Announcement>,
 }
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -69,6 +69,17 @@
 /// Weight of an owner's state above which its lack of capacity is trusted: one of up to 180 ms.
 const TRUSTED_FRESHNESS: f64 = 0.3;
 
+/// Usual service time that a peer's overhead is compared with: of the order of a request's work.
+const USUAL_SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// Share of started offers in a zone from which cold upstreams count as slow as they are. Below, less
+/// and less of it counts: their rate is lost if it is not used before the warm ones are full. With a
+/// quarter of the owners in slow periods, a zone that is half full starts about this share.
+const AMPLE_ROOM: f64 = 0.6;
+
+/// Share of started offers at which cold upstreams count as fast as warm ones.
+const FULL_ROOM: f64 = 0.2;
+
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -109,6 +120,8 @@
     pub node: &'a NodeName,
     /// Its availability zone.
     pub zone: &'a ZoneName,
+    /// Share of offers that the owners of its zone start; 1 if unknown.
+    pub room: f64,
 }
 
 /// What applies to all costs of one request.
@@ -118,6 +131,15 @@
     other_zone_cost: f64,
     /// Slowness of an owner of which nothing is known, in percent.
     default_slowness: f64,
+    /// Part of the slowness of cold upstreams that counts.
+    cold_weight: f64,
+}
+
+impl RequestDraw {
+    /// Returns the slowness that counts for a cold upstream, in percent.
+    fn cold_slowness(&self, slowness: f64) -> f64 {
+        100.0 + (slowness - 100.0) * self.cold_weight
+    }
 }
 
 /// Returns the indices of candidates in the order in which they are asked. An owner of the same zone
@@ -134,6 +156,7 @@
         other_zone_cost: OTHER_ZONE_COST_PERCENT
             + rng.random_range(-ZONE_JITTER_PERCENT..ZONE_JITTER_PERCENT),
         default_slowness: default_slowness(candidates),
+        cold_weight: ((position.room - FULL_ROOM) / (AMPLE_ROOM - FULL_ROOM)).clamp(0.0, 1.0),
     };
     let mut costs: Vec<(f64, usize)> = candidates
         .iter()
@@ -187,6 +210,12 @@
     if waits { 1.0 } else { decay(age, STATE_DECAY) }
 }
 
+/// Returns whether an upstream is cold and has capacity, by a state of this age.
+fn is_cold(state: &OwnerState, age: Duration) -> bool {
+    let cold_for = Duration::from_millis(state.capacity.cold_ms.into());
+    state.capacity.free > 0 && age < cold_for
+}
+
 /// Returns the slowness to assume for an owner of which nothing is known, in percent.
 fn default_slowness(candidates: &[Candidate]) -> f64 {
     let known = candidates.iter().filter_map(|candidate| candidate.health.state());
@@ -223,6 +252,8 @@
                 + (f64::from(state.capacity.usual_slowness) - draw.default_slowness)
                     * decay(age, CAPACITY_DECAY);
             let slowness = usual + (f64::from(state.slowness) - usual) * freshness;
+            let slowness =
+                if is_cold(&state, age) { draw.cold_slowness(slowness) } else { slowness };
             let running = f64::from(state.running + state.waiting) * freshness
                 + f64::from(health.sent_since());
             let slots = f64::from(state.slots.max(1));
@@ -234,7 +265,9 @@
         // Without a state, the number of slots is unknown; four are assumed.
         None => (draw.default_slowness, in_flight / 4.0, 0.0),
     };
+    let overhead = health.overhead(now).as_secs_f64() / USUAL_SERVICE_TIME.as_secs_f64() * 100.0;
     distance
+        + overhead
         + known_cost
         + slowness * (1.0 + (utilization - 0.5).max(0.0))
         + rng.random::<f64>() * JITTER_PERCENT
--- a/crates/mesh/src/upstream_capacity.rs
+++ b/crates/mesh/src/upstream_capacity.rs
@@ -71,11 +71,13 @@
     pub free: u16,
     /// Service time over the last seconds, in percent of that of a warm upstream at normal speed.
     pub usual_slowness: u16,
+    /// Time for which the upstream will still be cold, in milliseconds; 0 if it is warm.
+    pub cold_ms: u16,
 }
 
 impl UpstreamCapacity {
     /// Capacity of an upstream of which nothing has been learnt.
-    pub const UNKNOWN: Self = Self { failures: 0, free: 0, usual_slowness: 100 };
+    pub const UNKNOWN: Self = Self { failures: 0, free: 0, usual_slowness: 100, cold_ms: 0 };
 }
 
 /// Whether an upstream fails many of its runs, with hysteresis, for the log.
--- a/crates/mesh/tests/mesh/change_feed.rs
+++ b/crates/mesh/tests/mesh/change_feed.rs
@@ -17,6 +17,7 @@
         inner: "127.0.0.1:80".parse().unwrap(),
         zone: zone.into(),
         stopping: false,
+        slow: false,
         upstream: None,
     }
 }
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod load;
 mod members;
+mod node_health;
 mod placement;
 mod request_limit;
 mod retry_budget;
--- a/crates/mesh/tests/mesh/members.rs
+++ b/crates/mesh/tests/mesh/members.rs
@@ -11,6 +11,7 @@
         inner: "127.0.0.1:80".parse().unwrap(),
         zone: "z".into(),
         stopping: false,
+        slow: false,
         upstream: None,
     }
 }
--- a/crates/mesh/tests/mesh/upstream_capacity.rs
+++ b/crates/mesh/tests/mesh/upstream_capacity.rs
@@ -9,6 +9,7 @@
     admission_queue::{Admission, AdmissionQueue, AdmissionRequest, PriorityClass, UpstreamLoad},
     upstream_capacity::{FailingState, KneeEstimate},
 };
+use oleandertiller_model::ErrorKind;
 
 const SLOTS: u32 = 6;
 const SOFT_LIMIT: u32 = 4;
@@ -73,3 +74,36 @@
     let none = None;
     assert_eq!(changes, [none, Some(true), none, none, none, Some(false), none]);
 }
+
+/// Guards against an upstream that hangs and looks idle because its callers give up, and against one
+/// whose slow runs count as failed.
+#[test]
+fn hanging_upstream_looks_idle() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    queue.set_capacity(SLOTS, None);
+    for _ in 0..20 {
+        queue.record_overdue(now);
+    }
+    assert!(queue.capacity(now).failures > 50);
+    let at_most_once = AdmissionRequest {
+        rank: 1,
+        deadline: now + Duration::from_secs(1),
+        wait_until: now,
+        allow_slow: false,
+        class: PriorityClass::Timely,
+        at_most_once: true,
+    };
+    assert_eq!(queue.admit(at_most_once, now), Admission::Run);
+    assert!(queue.capacity(now + Duration::from_secs(15)).failures < 5);
+}
+
+/// Guards against an ingress that takes a draining owner for a full one: it would wait there, be
+/// refused at once and try again without a pause.
+#[test]
+fn closed_owner_looks_full() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    queue.set_capacity(SLOTS, Some(ErrorKind::Draining));
+    assert_eq!(queue.capacity(now).free, 4);
+}
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -15,7 +15,7 @@
 use event_listener::Event;
 use oleandertiller_mesh::{
     config::Config, exposure::ExposureLimit, leadership::ProcessId, members::NodeRecord,
-    retry_budget::RetryBudgetConfig, stop::StopSchedule,
+    node_health::NodeHealth, retry_budget::RetryBudgetConfig, stop::StopSchedule,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -40,7 +40,7 @@
 use crate::{
     node::{
         inner::{ControlHandler, client::InnerClient, server::InnerServer},
-        timer::Timers,
+        timer::{TIMER_RESOLUTION, Timers},
     },
     settings::mesh::MeshSettings,
 };
@@ -97,6 +97,8 @@
     deployment: Arc<Mutex<DeploymentState>>,
     record_changed: Sender<()>,
     rewrite: AtomicBool,
+    /// Whether this node's machine is slow.
+    slow: AtomicBool,
     /// The record as last written, and the store's revision of it.
     stored_record: Mutex<Option<(u64, NodeRecord)>>,
     lease: Mutex<Option<u64>>,
@@ -159,6 +161,7 @@
             inner: self.settings.listen.inner,
             zone: self.settings.node.zone.clone(),
             stopping: self.is_stopping(),
+            slow: self.is_slow(),
             upstream: self.owner.announcement().map(|mut announcement| {
                 // Fields that change with each announcement would cause a write each time.
                 announcement.sequence = 0;
@@ -220,6 +223,11 @@
         self.stop_schedule.get().is_some()
     }
 
+    /// Returns whether this node's machine is slow.
+    pub fn is_slow(&self) -> bool {
+        self.slow.load(Ordering::Relaxed)
+    }
+
     /// Reports that a call to the store went unanswered, which interrupts a pending watch.
     pub fn report_store_failure(&self) {
         self.store_failures.notify(usize::MAX);
@@ -409,6 +417,7 @@
         refusing: AtomicBool::new(false),
         active: AtomicUsize::new(0),
         rewrite: AtomicBool::new(false),
+        slow: AtomicBool::new(false),
         lease: Mutex::new(None),
         store_failures: Event::new(),
         store_read: Flag::default(),
@@ -422,14 +431,17 @@
     }
 }
 
-/// Drops expired members and updates the metrics on the deployment.
+/// Drops expired members, updates the metrics on the deployment, and notices whether the machine is
+/// slow.
 async fn expire<C: Clock>(shared: Arc<Shared<C>>) {
+    let mut health = NodeHealth::default();
     loop {
         let now: Instant = shared.clock.now();
         let (expired, config, nodes) = {
             let mut deployment = shared.deployment();
             let expired = deployment.members.expire(now);
             let config = deployment.config.as_ref().map_or(0, |cfg| cfg.version);
+            shared.metrics.set_late_peers(deployment.late_peers());
             (expired, config, deployment.members.iter().count())
         };
         shared.metrics.set_config_and_nodes(config, nodes);
@@ -439,5 +451,14 @@
                 "expired member dropped");
         }
         shared.timers.at(now + EXPIRE_INTERVAL).await;
+        let fired = shared.clock.now();
+        let late = fired.saturating_duration_since(now + EXPIRE_INTERVAL + TIMER_RESOLUTION);
+        if let Some(slow) = health.on_timer(late, fired) {
+            let late_ms = health.lateness().as_millis() as u64;
+            log::warn!(slow = slow, late_ms = late_ms; "whether this machine is slow has changed");
+            shared.slow.store(slow, Ordering::Relaxed);
+            shared.record_changed();
+        }
+        shared.metrics.set_timer_lateness(health.lateness());
     }
 }
--- a/src/mesh/deployment_state.rs
+++ b/src/mesh/deployment_state.rs
@@ -267,6 +267,23 @@
         self.zone_capacities.get(service)
     }
 
+    /// Records how long an owner's reply took and for how long the owner had the offer; returns
+    /// whether it answers late if that has changed.
+    pub fn on_reply_time(
+        &mut self,
+        node: &NodeName,
+        elapsed: Duration,
+        held: Duration,
+        now: Instant,
+    ) -> Option<bool> {
+        self.peers.get_mut(node)?.on_reply(elapsed, held, now)
+    }
+
+    /// Returns the number of peers that answer late.
+    pub fn late_peers(&self) -> usize {
+        self.peers.values().filter(|peer| peer.is_late()).count()
+    }
+
     /// Sets the state of this node's own owner.
     pub fn on_own_state(&mut self, node: &NodeName, state: OwnerState, now: Instant) {
         self.peers.entry(node.clone()).or_default().on_state(state, now);
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -473,8 +473,12 @@
             call_outcome,
             now.saturating_duration_since(sent),
         );
-        let unknown =
-            |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE, zones: Vec::new() };
+        let unknown = |kind| Reply {
+            end: End::Unknown(kind),
+            state: UNKNOWN_STATE,
+            held: Duration::ZERO,
+            zones: Vec::new(),
+        };
         match decoded {
             Ok(Ok(reply)) => {
                 self.on_reply(&reply, offer, record, sent);
@@ -504,6 +508,10 @@
         let now = self.shared.clock.now();
         let mut deployment = self.shared.deployment();
         deployment.on_state(node, reply.state, now);
+        let elapsed = now.saturating_duration_since(sent);
+        if let Some(late) = deployment.on_reply_time(node, elapsed, reply.held, now) {
+            log::info!(peer = node.as_str(), late = late; "whether a peer answers late has changed");
+        }
         let started = match reply.end {
             End::NotRun { arrived: false, why: ErrorKind::Overloaded | ErrorKind::Cold } => {
                 Some(false)
--- a/src/mesh/ingress/ranking.rs
+++ b/src/mesh/ingress/ranking.rs
@@ -66,12 +66,14 @@
             });
         }
         let allowed_versions = deployment.allowed_versions(&request.service);
-        let max_offers = deployment
-            .zone_capacity(&request.service)
-            .map_or(MAX_OWNERS_PER_ROUND, |zones| zones.max_offers(MAX_OWNERS_PER_ROUND, now));
+        let zone = &self.shared.settings.node.zone;
+        let (room, max_offers) = match deployment.zone_capacity(&request.service) {
+            Some(zones) => (zones.room(zone, now), zones.max_offers(MAX_OWNERS_PER_ROUND, now)),
+            None => (1.0, MAX_OWNERS_PER_ROUND),
+        };
         drop(deployment);
         let AllowedVersions::Share(version, share) = allowed_versions else {
-            let ranked = RankedOwners::new(self.sort_owners(owners, class, now), None);
+            let ranked = RankedOwners::new(self.sort_owners(owners, room, class, now), None);
             return RankedOwners { max_offers, ..ranked };
         };
         let is_new = |record: &NodeRecord| {
@@ -83,7 +85,7 @@
             // The new version is asked only if no owner of the old one is left, and serves what its
             // leader has granted.
             let owners = if old.is_empty() { new } else { old };
-            return RankedOwners::new(self.sort_owners(owners, class, now), None);
+            return RankedOwners::new(self.sort_owners(owners, room, class, now), None);
         }
         let new = match share < 1.0 {
             true => {
@@ -92,9 +94,9 @@
                 new.sort_by(|(one, _), (other, _)| one.node.cmp(&other.node));
                 new.into_iter().map(|(_, record)| RankedOwner { record, refusing: None }).collect()
             }
-            false => self.sort_owners(new, class, now),
+            false => self.sort_owners(new, room, class, now),
         };
-        let old = self.sort_owners(old, class, now);
+        let old = self.sort_owners(old, room, class, now);
         if new.is_empty() {
             RankedOwners::new(old, None)
         } else {
@@ -106,11 +108,12 @@
     fn sort_owners(
         &self,
         owners: Vec<(Candidate, Arc<NodeRecord>)>,
+        room: f64,
         class: PriorityClass,
         now: Instant,
     ) -> Vec<RankedOwner> {
         let settings = &self.shared.settings.node;
-        let position = Position { node: &settings.name, zone: &settings.zone };
+        let position = Position { node: &settings.name, zone: &settings.zone, room };
         let (candidates, records): (Vec<_>, Vec<_>) = owners.into_iter().unzip();
         let order = order_by_cost(&candidates, position, now, &mut rand::rng());
         let ranked = order.into_iter().map(|index| {
--- a/src/mesh/message.rs
+++ b/src/mesh/message.rs
@@ -166,6 +166,8 @@
     pub end: End,
     /// State of the owner after the offer.
     pub state: OwnerState,
+    /// Time for which the owner had the offer.
+    pub held: Duration,
     /// What the owner's node knows of the room of zones for the service.
     pub zones: Vec<ZoneReport>,
 }
--- a/src/mesh/metrics.rs
+++ b/src/mesh/metrics.rs
@@ -126,6 +126,8 @@
     nodes: Gauge,
     request_limit: Gauge<f64, AtomicU64>,
     upstream_failures: Gauge,
+    late_peers: Gauge,
+    timer_lateness: Gauge<f64, AtomicU64>,
     store_era: Gauge,
     rollout_requests: Gauge,
     rollout_allowed_requests: Gauge,
@@ -173,6 +175,14 @@
             "Recent runs on the local upstream that failed, in percent",
             upstream_failures.clone(),
         );
+        let late_peers = Gauge::default();
+        registry.register("late_peers", "Peers that answer late", late_peers.clone());
+        let timer_lateness = Gauge::<f64, AtomicU64>::default();
+        registry.register(
+            "timer_lateness_seconds",
+            "Time by which timers of this node fire late, smoothed",
+            timer_lateness.clone(),
+        );
         let (rollout_requests, rollout_allowed_requests) = (Gauge::default(), Gauge::default());
         registry.register(
             "rollout_requests",
@@ -196,6 +206,8 @@
             nodes,
             request_limit,
             upstream_failures,
+            late_peers,
+            timer_lateness,
             store_era,
             rollout_requests,
             rollout_allowed_requests,
@@ -254,6 +266,16 @@
         self.upstream_failures.set(percent.into());
     }
 
+    /// Sets the number of peers that answer late.
+    pub fn set_late_peers(&self, count: usize) {
+        self.late_peers.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the time by which timers fire late.
+    pub fn set_timer_lateness(&self, late: Duration) {
+        self.timer_lateness.set(late.as_secs_f64());
+    }
+
     /// Sets how many requests the new version got in the rollout that this node leads, and how many
     /// a bad version may have got by now.
     pub fn set_exposure(&self, requests: u64, allowed: u64) {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -18,9 +18,7 @@
 use event_listener::Event;
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
-    admission_queue::{
-        Admission, AdmissionQueue, AdmissionRequest, Dequeued, OwnerState, PriorityClass, Ticket,
-    },
+    admission_queue::{Admission, AdmissionQueue, AdmissionRequest, Dequeued, Ticket},
     config::RetrySafety,
     crash_suspects::{CrashSuspects, Fingerprint, Verdict, chosen_owner},
     exposure::OwnerExposure,
@@ -35,7 +33,7 @@
 use super::{
     deployment_state::DeploymentState,
     http::HttpConn,
-    message::{CrashReport, End, Offer, OwnerReport, Reply, ReportRequest},
+    message::{End, Offer, OwnerReport, Reply, ReportRequest},
     metrics::Metrics,
     upstream::Pool,
 };
@@ -313,11 +311,6 @@
         Some(Parent { id: run.id.clone(), is_retry: run.is_retry })
     }
 
-    /// Returns the requests per second that fill the upstream's slots.
-    pub fn full_rate(&self) -> f64 {
-        self.lock().queue.full_rate()
-    }
-
     /// Takes over the grant of the leader of the service's rollout; returns the report to it.
     pub fn report(&self, request: ReportRequest) -> OwnerReport {
         let now = self.clock.now();
@@ -332,19 +325,10 @@
         }
     }
 
-    /// Returns the state that is sent with the reply to an offer.
-    pub fn state(&self, offer: &Offer) -> OwnerState {
-        self.state_for(offer.class, offer.rank)
-    }
-
-    /// Returns the state for requests of a class and rank.
-    pub fn state_for(&self, class: PriorityClass, rank: u32) -> OwnerState {
-        self.lock().queue.state(class, rank, self.clock.now())
-    }
-
     /// Runs a request on the upstream, or refuses it.
     pub async fn offer(&self, offer: &Offer) -> Reply {
-        let deadline = self.clock.now() + offer.remaining.min(MAX_REMAINING);
+        let arrived = self.clock.now();
+        let deadline = arrived + offer.remaining.min(MAX_REMAINING);
         let end = self.admit_and_run(offer, deadline).await;
         let state = self.state(offer);
         let (decision, reason) = end.decision();
@@ -357,11 +341,9 @@
                 patience_ms = offer.max_wait.as_millis() as u64;
                 "upstream refused or lost a request");
         }
-        let zones = match offer.node == self.cfg.node {
-            true => self.zone_reports(&offer.service),
-            false => Vec::new(),
-        };
-        Reply { end, state, zones }
+        let zones = self.zone_reports(offer);
+        let held = self.clock.now().saturating_duration_since(arrived);
+        Reply { end, state, held, zones }
     }
 
     async fn admit_and_run(&self, offer: &Offer, deadline: Instant) -> End {
@@ -460,22 +442,6 @@
         (inner.suspects.verdict(request, offer.is_retry, may_run_suspect, now), Some(request))
     }
 
-    /// Returns what this owner knows of requests that crash upstreams of its service.
-    pub fn crash_report(&self) -> Option<CrashReport> {
-        let inner = self.lock();
-        let service = inner.upstream.latest()?.service.clone();
-        Some(CrashReport { service, suspects: inner.suspects.records(self.clock.now()) })
-    }
-
-    /// Takes over what another owner knows; returns what this one knew, or `None` without an upstream.
-    pub fn on_crash_report(&self, report: &CrashReport) -> Option<CrashReport> {
-        let own = self.crash_report()?;
-        if own.service == report.service {
-            self.lock().suspects.merge(&report.suspects, self.clock.now());
-        }
-        Some(own)
-    }
-
     /// Waits for the decision on a queued request, and keeps the load figures current meanwhile.
     async fn wait_for_slot(&self, ticket: Ticket, until: Instant) -> Result<(), ErrorKind> {
         let (tx, rx) = async_channel::bounded(1);
--- a/src/mesh/owner/capacity.rs
+++ b/src/mesh/owner/capacity.rs
@@ -2,8 +2,12 @@
 
 use std::time::Instant;
 
-use oleandertiller_mesh::{upstream_capacity::RunStart, zone_capacity::ZoneReport};
-use oleandertiller_model::{Clock, ServiceName};
+use oleandertiller_mesh::{
+    admission_queue::{OwnerState, PriorityClass},
+    upstream_capacity::RunStart,
+    zone_capacity::ZoneReport,
+};
+use oleandertiller_model::Clock;
 
 use super::{Inner, Owner, RunningRequest};
 use crate::mesh::message::{End, Offer};
@@ -27,10 +31,25 @@
 }
 
 impl<C: Clock> Owner<C> {
-    /// Returns what this node knows of the room of zones for a service.
-    pub(super) fn zone_reports(&self, service: &ServiceName) -> Vec<ZoneReport> {
+    /// Returns the requests per second that fill the upstream's slots.
+    pub fn full_rate(&self) -> f64 {
+        self.lock().queue.full_rate()
+    }
+
+    /// Returns the state that is sent with the reply to an offer.
+    pub fn state(&self, offer: &Offer) -> OwnerState {
+        self.state_for(offer.class, offer.rank)
+    }
+
+    /// Returns the state for requests of a class and rank.
+    pub fn state_for(&self, class: PriorityClass, rank: u32) -> OwnerState {
+        self.lock().queue.state(class, rank, self.clock.now())
+    }
+
+    /// Returns what this node knows of the room of zones for the service of an offer.
+    pub(super) fn zone_reports(&self, offer: &Offer) -> Vec<ZoneReport> {
         let deployment = self.deployment();
-        let zones = deployment.zone_capacity(service);
+        let zones = deployment.zone_capacity(&offer.service);
         zones.map(|zones| zones.reports(self.clock.now())).unwrap_or_default()
     }
 
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -17,7 +17,7 @@
 use crate::mesh::{
     deployment_state::time_left,
     http::{HttpConn, encode_request},
-    message::{End, Offer, Response},
+    message::{CrashReport, End, Offer, Response},
     metrics::{Decision, Dependency},
     upstream::{Exchange, ExchangeError, PooledConn, exchange},
 };
@@ -104,6 +104,22 @@
             "connection lost while a request ran");
     }
 
+    /// Returns what this owner knows of requests that crash upstreams of its service.
+    pub fn crash_report(&self) -> Option<CrashReport> {
+        let inner = self.lock();
+        let service = inner.upstream.latest()?.service.clone();
+        Some(CrashReport { service, suspects: inner.suspects.records(self.clock.now()) })
+    }
+
+    /// Takes over what another owner knows; returns what this one knew, or `None` without an upstream.
+    pub fn on_crash_report(&self, report: &CrashReport) -> Option<CrashReport> {
+        let own = self.crash_report()?;
+        if own.service == report.service {
+            self.lock().suspects.merge(&report.suspects, self.clock.now());
+        }
+        Some(own)
+    }
+
     /// Acquits a request that the upstream has completed.
     fn on_completed(&self, offer: &Offer) {
         if self.lock().suspects.is_empty() {
@@ -201,6 +217,9 @@
                 return;
             }
         };
+        if matches!(end, End::Unknown(ErrorKind::UpstreamTimeout)) {
+            self.lock().queue.record_overdue(self.clock.now());
+        }
         let made_calls = self.lock().running.iter().any(|run| run.id == offer.id && run.made_calls);
         // If the request made nested calls, another service may have caused its failure.
         if result.is_some() || !made_calls || matches!(end, End::Unknown(_)) {
@@ -264,6 +283,10 @@
 impl<C: Clock> Drop for RunGuard<'_, C> {
     fn drop(&mut self) {
         let time = self.owner.clock.now().saturating_duration_since(self.started);
+        let usual = self.owner.deployment().usual_answer_time(&self.offer.route);
+        if !usual.is_zero() && time >= usual {
+            self.owner.lock().queue.record_overdue(self.owner.clock.now());
+        }
         let time = normalized(time, self.slowness);
         self.owner.lock().evidence.record_abandoned(self.version, &self.offer.route, time);
         self.owner.update_veto(&self.offer.service, self.version);
--- a/src/mesh/rollout_leader.rs
+++ b/src/mesh/rollout_leader.rs
@@ -186,8 +186,8 @@
     /// Returns whether this node leads, after trying to become leader if there is none.
     async fn leads(&mut self, service: &ServiceName) -> bool {
         let known = self.shared.deployment().leaderships.get(service).cloned();
-        let lesser_names = self.nodes_with_lesser_name(service);
-        match self.candidate.step(known.as_ref(), lesser_names, self.shared.clock.now()) {
+        let before = self.nodes_before(service);
+        match self.candidate.step(known.as_ref(), before, self.shared.clock.now()) {
             LeaderStep::Lead => true,
             LeaderStep::Wait => false,
             LeaderStep::TakeOver => self.take_over(service).await,
@@ -227,13 +227,17 @@
         self.shared.leadership_revision(service).is_some()
     }
 
-    /// Returns the number of nodes of the service with a lesser name than this one.
-    fn nodes_with_lesser_name(&self, service: &ServiceName) -> usize {
+    /// Returns the number of nodes of the service that come before this one as leaders: those with a
+    /// lesser name, and those on slow machines after all others.
+    fn nodes_before(&self, service: &ServiceName) -> usize {
         let name = &self.shared.settings.node.name;
+        let slow = self.shared.is_slow();
         let deployment = self.shared.deployment();
         let before = deployment.members.iter().filter(|member| {
             let upstream = member.record.upstream.as_ref();
-            upstream.is_some_and(|u| u.service == *service) && member.record.node < *name
+            let record = &member.record;
+            let serves = upstream.is_some_and(|u| u.service == *service);
+            serves && (record.slow, &record.node) < (slow, name)
         });
         before.count()
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod cold_upstreams;
 mod deadly_requests;
 mod deployment;
+mod failing_upstream;
 mod fleet;
 mod http;
 mod lost_answers;
