--- a/src/mesh/owner/capacity.rs
+++ b/src/mesh/owner/capacity.rs
@@ -23,7 +23,7 @@
         let slots = self.upstream.latest().map_or(0, |latest| latest.slots);
         self.knee.on_running(self.running.len() as u32, self.queue.soft_limit(), now);
         let useful = self.knee.useful_slots(slots, now);
-        if self.queue.useful_slots() != useful {
+        if self.queue.useful_slots().min(slots) != useful {
             log::info!(slots = slots, useful = useful; "useful slots of the upstream changed");
         }
         self.queue.set_useful_slots(useful);
