--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -55,6 +55,10 @@
 /// Weight of the newest result in the smoothed failure rate.
 const FAILURE_RATE_SMOOTHING: f64 = 0.15;
 
+/// Part of a failed run that a run counts as that took too long for its caller. A tenth of all runs
+/// are hedged, and most of these are only slow.
+const OVERDUE_WEIGHT: f64 = 0.6;
+
 /// Time after which the failure rate has decayed to about a third.
 const FAILURE_RATE_DECAY: Duration = Duration::from_secs(4);
 
@@ -276,6 +280,8 @@
     failures: DecayingShare,
     /// Share of recent requests that the upstream refused.
     refusals: DecayingShare,
+    /// Share of recent runs that took too long for their callers.
+    overdue: DecayingShare,
     /// Slots that are worth using when all are needed.
     useful_slots: u32,
     uncounted: UncountedRequests,
@@ -290,9 +296,9 @@
 }
 
 impl DecayingShare {
-    fn record(&mut self, hit: bool, now: Instant) {
+    /// Adds an event, which counts from 0 to 1.
+    fn record(&mut self, result: f64, now: Instant) {
         let previous = self.at(now);
-        let result = if hit { 1.0 } else { 0.0 };
         self.share = previous + (result - previous) * FAILURE_RATE_SMOOTHING;
         self.recorded_at = Some(now);
     }
@@ -324,6 +330,7 @@
             senders: SenderShare::default(),
             failures: DecayingShare::default(),
             refusals: DecayingShare::default(),
+            overdue: DecayingShare::default(),
             useful_slots: u32::MAX,
             uncounted: UncountedRequests::default(),
             slowness_estimate: SlownessEstimate::default(),
@@ -533,14 +540,22 @@
 
     /// Records the end of a run; `failed` if no good answer came from the upstream.
     pub fn record_outcome(&mut self, failed: bool, now: Instant) {
-        self.failures.record(failed, now);
-        self.refusals.record(false, now);
+        self.failures.record(if failed { 1.0 } else { 0.0 }, now);
+        self.refusals.record(0.0, now);
+        self.overdue.record(0.0, now);
+    }
+
+    /// Records a run that its caller gave up after longer than most answers take, or at its
+    /// deadline. Most of these are slow rather than failed, so requests that run at most once are
+    /// still admitted, but an upstream that hangs must not look idle.
+    pub fn record_overdue(&mut self, now: Instant) {
+        self.overdue.record(OVERDUE_WEIGHT, now);
     }
 
     /// Records that the upstream has refused a request. Requests that run at most once are not kept
     /// away from it, since a refused request has not run.
     pub fn record_refusal(&mut self, now: Instant) {
-        self.refusals.record(true, now);
+        self.refusals.record(1.0, now);
     }
 
     /// Returns the number of waiting requests.
@@ -579,12 +594,15 @@
 
     /// Returns what is learnt of the upstream's capacity.
     pub fn capacity(&self, now: Instant) -> UpstreamCapacity {
-        let failures = self.failures.at(now).max(self.refusals.at(now));
-        let failures = (failures * 100.0).round() as u8;
+        let bad = (self.failures.at(now) + self.overdue.at(now)).max(self.refusals.at(now));
+        let failures = (bad.min(1.0) * 100.0).round() as u8;
         UpstreamCapacity {
             failures,
             free: self.free(PriorityClass::Timely, now),
             usual_slowness: self.slowness_estimate.usual().round() as u16,
+            cold_ms: self.cold_until.map_or(0, |until| {
+                until.saturating_duration_since(now).as_millis().min(u16::MAX.into()) as u16
+            }),
         }
     }
 
@@ -603,9 +621,10 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the number of requests of a class that could start at once at normal speed.
+    /// Returns the number of requests of a class that could start at once at normal speed, if the
+    /// queue is open: an ingress takes 0 for a lack of capacity, for which it may wait here.
     fn free(&self, class: PriorityClass, now: Instant) -> u16 {
-        if self.closed_reason.is_some() || !self.waiting.is_empty() {
+        if !self.waiting.is_empty() {
             return 0;
         }
         let limit = if class == PriorityClass::Nested { self.slots } else { self.soft_limit() };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`leadership`]: which process leads the rollouts of a service, or has a duty for all services.
 //! - [`lease`]: how long a node's record lives without a renewal.
 //! - [`members`]: which instances exist, also while the store is unavailable.
+//! - [`node_health`]: whether the machine of a node is slow.
 //! - [`peer_health`]: what an ingress knows of one owner.
 //! - [`nested_calls`]: which services the requests of a route call.
 //! - [`memory_budget`]: what connections, bodies and responses may hold of the process's memory.
@@ -43,6 +44,7 @@
 pub mod members;
 pub mod memory_budget;
 pub mod nested_calls;
+pub mod node_health;
 pub mod peer_health;
 pub mod pipeline;
 pub mod placement;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -64,7 +64,7 @@
 /// Maximum random change of the cost of another zone, one draw for each request, in percent of the
 /// usual service time. The share of requests that leave a zone thus grows with the gain, over twice
 /// this span, so that demand does not move to and fro between zones.
-const ZONE_JITTER_PERCENT: f64 = 15.0;
+const ZONE_JITTER_PERCENT: f64 = 10.0;
 
 /// Weight of an owner's state above which its lack of capacity is trusted: one of up to 180 ms.
 const TRUSTED_FRESHNESS: f64 = 0.3;
@@ -73,6 +73,16 @@
 /// ordinary. Each owner tells a mean over a few slow periods, so the figures of equal upstreams differ
 /// by this much. The owners with the lowest figures are mostly in other zones, which have most owners.
 const ORDINARY_SLOWNESS_EXCESS: f64 = 0.5;
+/// Usual service time that a peer's overhead is compared with: of the order of a request's work.
+const USUAL_SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// Share of started offers in a zone from which cold upstreams count as slow as they are. Below, less
+/// and less of it counts: their rate is lost if it is not used before the warm ones are full. With a
+/// quarter of the owners in slow periods, a zone that is half full starts about this share.
+const AMPLE_ROOM: f64 = 0.6;
+
+/// Share of started offers at which cold upstreams count as fast as warm ones.
+const FULL_ROOM: f64 = 0.2;
 
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
@@ -114,6 +124,8 @@
     pub node: &'a NodeName,
     /// Its availability zone.
     pub zone: &'a ZoneName,
+    /// Share of offers that the owners of its zone start; 1 if unknown.
+    pub room: f64,
 }
 
 /// What applies to all costs of one request.
@@ -125,6 +137,15 @@
     default_slowness: f64,
     /// Mean share of the requests that the known upstreams fail or refuse, from 0 to 1.
     usual_failures: f64,
+    /// Part of the slowness of cold upstreams that counts.
+    cold_weight: f64,
+}
+
+impl RequestDraw {
+    /// Returns the slowness that counts for a cold upstream, in percent.
+    fn cold_slowness(&self, slowness: f64) -> f64 {
+        100.0 + (slowness - 100.0) * self.cold_weight
+    }
 }
 
 /// Returns the indices of candidates in the order in which they are asked. An owner of the same zone
@@ -142,6 +163,7 @@
             + rng.random_range(-ZONE_JITTER_PERCENT..ZONE_JITTER_PERCENT),
         default_slowness: default_slowness(candidates),
         usual_failures: usual_failures(candidates, now),
+        cold_weight: ((position.room - FULL_ROOM) / (AMPLE_ROOM - FULL_ROOM)).clamp(0.0, 1.0),
     };
     let mut costs: Vec<(f64, usize)> = candidates
         .iter()
@@ -176,8 +198,12 @@
     if candidates[best].node == *position.node || candidates[best].limited || lowest < 0.0 {
         return;
     }
+    // Most owners are in other zones, so a choice among all good ones would mostly leave the zone.
     let is_good = |(cost, index): &(f64, usize)| {
-        *cost <= lowest + GOOD_COST_SPAN_PERCENT && !candidates[*index].limited
+        let candidate = &candidates[*index];
+        *cost <= lowest + GOOD_COST_SPAN_PERCENT
+            && !candidate.limited
+            && candidate.zone == candidates[best].zone
     };
     let good = costs.iter().take_while(|entry| is_good(entry)).count();
     let chosen = rng.random_range(0..good).min(rng.random_range(0..good));
@@ -211,6 +237,12 @@
     if count > 0.0 { sum / count } else { 0.0 }
 }
 
+/// Returns whether an upstream is cold and has capacity, by a state of this age.
+fn is_cold(state: &OwnerState, age: Duration) -> bool {
+    let cold_for = Duration::from_millis(state.capacity.cold_ms.into());
+    state.capacity.free > 0 && age < cold_for
+}
+
 /// Returns the slowness to assume for an owner of which nothing is known, in percent.
 fn default_slowness(candidates: &[Candidate]) -> f64 {
     let known = candidates.iter().filter_map(|candidate| candidate.health.state());
@@ -247,6 +279,8 @@
             let excess = (f64::from(state.capacity.usual_slowness) - ordinary).max(0.0);
             let usual = draw.default_slowness + excess * decay(age, CAPACITY_DECAY);
             let slowness = usual + (f64::from(state.slowness) - usual) * freshness;
+            let slowness =
+                if is_cold(&state, age) { draw.cold_slowness(slowness) } else { slowness };
             let running = f64::from(state.running + state.waiting) * freshness
                 + f64::from(health.sent_since());
             let slots = f64::from(state.slots.max(1));
@@ -259,7 +293,9 @@
         // Without a state, the number of slots is unknown; four are assumed.
         None => (draw.default_slowness, in_flight / 4.0, 0.0),
     };
+    let overhead = health.overhead(now).as_secs_f64() / USUAL_SERVICE_TIME.as_secs_f64() * 100.0;
     distance
+        + overhead
         + known_cost
         + slowness * (1.0 + (utilization - 0.5).max(0.0))
         + rng.random::<f64>() * JITTER_PERCENT
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod load;
 mod members;
 mod memory_budget;
+mod node_health;
 mod pipeline;
 mod placement;
 mod request_limit;
--- a/src/mesh/ingress/dispatch.rs
+++ b/src/mesh/ingress/dispatch.rs
@@ -588,11 +588,15 @@
             call_outcome,
             now.saturating_duration_since(sent),
         );
-        let unknown =
-            |kind| Reply { end: End::Unknown(kind), state: UNKNOWN_STATE, zones: Vec::new() };
+        let unknown = |kind| Reply {
+            end: End::Unknown(kind),
+            state: UNKNOWN_STATE,
+            held: Duration::ZERO,
+            zones: Vec::new(),
+        };
         match decoded {
-            Ok(Ok(Reply { end, state, zones })) => {
-                let reply = Reply { end: end.with_valid_status(), state, zones };
+            Ok(Ok(reply)) => {
+                let reply = Reply { end: reply.end.with_valid_status(), ..reply };
                 self.on_reply(&reply, offer, record, sent);
                 Ok(reply)
             }
@@ -633,6 +637,10 @@
             End::Answered(_) => deployment.capacity.on_calls(&offer.route, None, now),
             _ => {}
         }
+        let elapsed = now.saturating_duration_since(sent);
+        if let Some(late) = deployment.on_reply_time(node, elapsed, reply.held, now) {
+            log::info!(peer = node.as_str(), late = late; "whether a peer answers late has changed");
+        }
         let started = match reply.end {
             End::NotRun { arrived: false, why: ErrorKind::Overloaded | ErrorKind::Cold } => {
                 Some(false)
