--- a/crates/mesh/src/nested_calls.rs
+++ b/crates/mesh/src/nested_calls.rs
@@ -16,6 +16,9 @@
 /// versions, seldom otherwise.
 const DECAY: Duration = Duration::from_secs(20);
 
+/// Time after which a route without requests may be forgotten.
+const MEMORY: Duration = Duration::from_secs(100);
+
 /// Weight of the requests that must have been observed before the calls of a route count as known.
 const MIN_REQUESTS: f64 = 5.0;
 
@@ -48,6 +51,10 @@
 impl NestedCalls {
     /// Records that a request of a route has started.
     pub fn on_request(&mut self, route: &Arc<str>, now: Instant) {
+        if !self.routes.contains_key(route) {
+            // Routes that the configuration no longer has.
+            self.routes.retain(|_, calls| now.saturating_duration_since(calls.at) < MEMORY);
+        }
         let calls = self.routes.entry(route.clone());
         let calls =
             calls.or_insert_with(|| RouteCalls { requests: 0.0, calls: HashMap::new(), at: now });
@@ -71,10 +78,4 @@
             needed.map(|(service, _)| service)
         })
     }
-
-    /// Forgets the routes of which no request has started for a while.
-    pub fn forget_old(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < DECAY * 5;
-        self.routes.retain(|_, calls| is_recent(calls.at));
-    }
 }
