Split the HTTP module, keep small responses in the account while they are written

A small response left the account when it was copied behind its head, before the client had read it. Without a value, [node] descriptors is 4096: at 1024, ordinary clients of a large deployment could have reached the bound.

--- a/src/mesh/body.rs
+++ b/src/mesh/body.rs
@@ -153,7 +153,7 @@
     }
 
     /// Returns the number of bytes so far.
-    pub fn len(&self) -> usize {
+    pub fn received(&self) -> usize {
         self.body.len() + self.filled
     }
 
@@ -165,7 +165,7 @@
     pub async fn space(&mut self) -> Result<&mut [u8], HttpError> {
         if self.filled == self.buf.len() {
             self.finish_chunk();
-            let size = match (self.expected, self.len()) {
+            let size = match (self.expected, self.received()) {
                 (0, 0) => FIRST_CHUNK_BYTES,
                 (0, len) => len.next_power_of_two(),
                 (expected, _) => expected,
@@ -182,7 +182,7 @@
         let share = match holder {
             // Finished work, which bodies that are still to run must not hold up.
             Holder::Responses => Share::Whole,
-            _ if self.len() + size <= SMALL_BYTES => Share::Small,
+            _ if self.received() + size <= SMALL_BYTES => Share::Small,
             _ => Share::Bulk,
         };
         let guard = match account.try_reserve(*holder, share, size) {
@@ -202,7 +202,7 @@
             }
         };
         if let Some(client) = &self.limits.client {
-            client.on_progress(Activity::Reading, self.len() + size);
+            client.on_progress(Activity::Reading, self.received() + size);
         }
         Ok(Some(guard))
     }
@@ -216,7 +216,7 @@
 
     fn set_activity(&self, activity: Activity) {
         if let Some(client) = &self.limits.client {
-            client.on_progress(activity, self.len());
+            client.on_progress(activity, self.received());
         }
     }
 
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -78,9 +78,9 @@
     let no_memory = |_| MessageError::TooLarge;
     let mut body = BodyBuilder::new(limits, len);
     body.append(&first).await.map_err(no_memory)?;
-    while body.len() < len {
+    while body.received() < len {
         let data = next_data(stream).await?.ok_or(MessageError::Broken)?;
-        if data.len() > len - body.len() {
+        if data.len() > len - body.received() {
             return Err(MessageError::Malformed);
         }
         body.append(&data).await.map_err(no_memory)?;
--- a/src/mesh/http.rs
+++ b/src/mesh/http.rs
@@ -3,6 +3,9 @@
 //! Input after a message stays in the buffer, so that bytes that belong to no message are detected.
 //! A body is read completely before it is passed on.
 
+mod encode;
+mod read_body;
+
 use std::{io, net::SocketAddr, sync::Arc};
 
 use async_std::net::TcpStream;
@@ -11,10 +14,11 @@
 use oleandertiller_mesh::memory_budget::Activity;
 use serde::{Deserialize, Serialize};
 
-use super::{
-    body::{Body, BodyBuilder, BodyLimits},
-    memory::{ClientEntry, ClientGuard},
+pub use self::encode::{
+    encode_request, encode_request_head, encode_response, encode_response_head, join_small_body,
+    write_message,
 };
+use super::memory::{ClientEntry, ClientGuard};
 use crate::node::inner::configure_socket;
 
 /// Maximum number of headers of a message; one with more is rejected.
@@ -24,35 +28,16 @@
 /// connections may be idle.
 const IDLE_INPUT_BYTES: usize = 2 << 10;
 
-/// Size of the input buffer while a chunked body is read, in bytes, so that small chunks take few
-/// system calls.
-const CHUNKED_INPUT_BYTES: usize = 8 << 10;
-
-/// Number of bytes from which a part of a body is read past the input buffer.
-const MIN_DIRECT_READ_BYTES: usize = 1 << 10;
-
 /// Times that the account counts a large input buffer: the head in it is copied when it is parsed,
 /// and once more for the upstream.
 const HEAD_COPIES: usize = 3;
 
-/// Capacity for an encoded head of usual size, in bytes.
-const HEAD_CAPACITY: usize = 512;
-
-/// Longest body that is copied behind its head, in bytes, so that both take one system call.
-const MAX_INLINE_BODY_BYTES: usize = 8 << 10;
-
 /// Maximum input that is buffered while waiting for the close of the connection, in bytes.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 
 /// Maximum input that is read and discarded before a close, in bytes.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 
-/// Maximum length of the line with a chunk's size, in bytes; it may have extensions.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
-
-/// Maximum length of all trailer lines after a chunked body, in bytes.
-const MAX_TRAILER_BYTES: usize = 8 << 10;
-
 /// Maximum number of interim responses before the response. Without a limit, a peer that sends them
 /// at full speed would keep the executor busy for as long as it likes.
 const MAX_INTERIM_RESPONSES: usize = 8;
@@ -344,148 +329,6 @@
         }
     }
 
-    /// Reads a complete body of at most `max` bytes, outside of the memory account.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HttpError`] if the body is incomplete, malformed or too large.
-    pub async fn read_body(&mut self, framing: Framing, max: usize) -> Result<Vec<u8>, HttpError> {
-        let limits = BodyLimits::unaccounted(max);
-        Ok(self.read_limited_body(framing, &limits).await?.to_vec())
-    }
-
-    /// Reads a complete body within limits.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HttpError`] if the body is incomplete, malformed or too large, or if there was no
-    /// memory for it.
-    pub async fn read_limited_body(
-        &mut self,
-        framing: Framing,
-        limits: &BodyLimits,
-    ) -> Result<Body, HttpError> {
-        match framing {
-            Framing::Length(0) => Ok(Body::default()),
-            Framing::Length(len) if len > limits.max() as u64 => Err(HttpError::BodyTooLarge),
-            Framing::Length(len) => {
-                let mut body = BodyBuilder::new(limits, len as usize);
-                self.read_exact_into(&mut body, len as usize).await?;
-                Ok(body.finish())
-            }
-            Framing::Chunked => self.read_chunks(limits).await,
-            Framing::UntilClose => self.read_until_close(limits).await,
-        }
-    }
-
-    async fn read_until_close(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
-        let mut body = BodyBuilder::new(limits, 0);
-        loop {
-            let left = limits.max() - body.len();
-            if left == 0 && (self.has_input() || self.fill().await? > 0) {
-                return Err(HttpError::BodyTooLarge);
-            }
-            if left == 0 || self.read_some_into(&mut body, left).await? == 0 {
-                return Ok(body.finish());
-            }
-        }
-    }
-
-    async fn read_chunks(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
-        self.grow_input(CHUNKED_INPUT_BYTES, 1)?;
-        let mut body = BodyBuilder::new(limits, 0);
-        loop {
-            let size = self.read_chunk_size().await?;
-            if size > limits.max() - body.len() {
-                return Err(HttpError::BodyTooLarge);
-            }
-            if size == 0 {
-                break;
-            }
-            self.read_exact_into(&mut body, size).await?;
-            if !self.read_line(0).await?.is_empty() {
-                return Err(HttpError::Malformed);
-            }
-        }
-        let mut trailer_bytes = 0;
-        loop {
-            let line = self.read_line(MAX_TRAILER_BYTES).await?;
-            if line.is_empty() {
-                return Ok(body.finish());
-            }
-            trailer_bytes += line.len();
-            if trailer_bytes > MAX_TRAILER_BYTES {
-                return Err(HttpError::Malformed);
-            }
-        }
-    }
-
-    async fn read_chunk_size(&mut self) -> Result<usize, HttpError> {
-        let line = self.read_line(MAX_CHUNK_LINE_BYTES).await?;
-        let size = line.split(|b| *b == b';').next().unwrap_or_default();
-        let size = std::str::from_utf8(size).map_err(|_| HttpError::Malformed)?.trim();
-        if size.is_empty() || !size.bytes().all(|b| b.is_ascii_hexdigit()) {
-            return Err(HttpError::Malformed);
-        }
-        usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)
-    }
-
-    /// Reads a line of at most about `max` bytes and returns it without its line end.
-    async fn read_line(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
-        loop {
-            let input = &self.input[self.start..self.end];
-            if let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") {
-                let line = input[..end].to_vec();
-                self.start += end + 2;
-                return Ok(line);
-            }
-            if input.len() > max + 1 {
-                return Err(HttpError::Malformed);
-            }
-            if self.fill().await? == 0 {
-                return Err(HttpError::Broken);
-            }
-        }
-    }
-
-    async fn read_exact_into(
-        &mut self,
-        body: &mut BodyBuilder<'_>,
-        len: usize,
-    ) -> Result<(), HttpError> {
-        let mut left = len;
-        while left > 0 {
-            match self.read_some_into(body, left).await? {
-                0 => return Err(HttpError::Broken),
-                read => left -= read,
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads up to `max` bytes, past the input buffer if they are many; returns their number, or 0 at
-    /// the end of the connection.
-    async fn read_some_into(
-        &mut self,
-        body: &mut BodyBuilder<'_>,
-        max: usize,
-    ) -> Result<usize, HttpError> {
-        if !self.has_input() && max >= MIN_DIRECT_READ_BYTES {
-            let space = body.space().await?;
-            let count = space.len().min(max);
-            let read = self.stream.read(&mut space[..count]).await?;
-            body.advance(read);
-            return Ok(read);
-        }
-        if !self.has_input() && self.fill().await? == 0 {
-            return Ok(0);
-        }
-        let count = max.min(self.end - self.start);
-        body.append(&self.input[self.start..self.start + count]).await?;
-        self.start += count;
-        Ok(count)
-    }
-
     /// Reads more input; returns the number of bytes, or 0 at the end of the connection. May be
     /// cancelled without loss of input.
     async fn fill(&mut self) -> io::Result<usize> {
@@ -562,85 +405,6 @@
     }
 }
 
-/// Writes the parts of a message.
-///
-/// # Errors
-///
-/// Returns the system's error when the connection is broken.
-pub async fn write_message(stream: &mut TcpStream, head: &[u8], body: &[Bytes]) -> io::Result<()> {
-    stream.write_all(head).await?;
-    for chunk in body {
-        stream.write_all(chunk).await?;
-    }
-    Ok(())
-}
-
-/// Appends a small body to its encoded head; returns what is to be written after the head.
-pub fn join_small_body<'a>(head: &mut Vec<u8>, body: &'a Body) -> &'a [Bytes] {
-    if body.len() > MAX_INLINE_BODY_BYTES {
-        return body.chunks();
-    }
-    for chunk in body.chunks() {
-        head.extend_from_slice(chunk);
-    }
-    &[]
-}
-
-/// Encodes a request with its body.
-pub fn encode_request(method: &str, target: &str, headers: &Headers, body: &[u8]) -> Vec<u8> {
-    let mut buf = encode_request_head(method, target, headers, body.len());
-    buf.extend_from_slice(body);
-    buf
-}
-
-/// Encodes the head of a request with a body of `body_len` bytes.
-pub fn encode_request_head(
-    method: &str,
-    target: &str,
-    headers: &Headers,
-    body_len: usize,
-) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(HEAD_CAPACITY + body_len.min(MAX_INLINE_BODY_BYTES));
-    buf.extend_from_slice(method.as_bytes());
-    buf.push(b' ');
-    buf.extend_from_slice(target.as_bytes());
-    buf.extend_from_slice(b" HTTP/1.1\r\n");
-    headers.encode_to(&mut buf);
-    if body_len > 0 || !matches!(method, "GET" | "HEAD" | "DELETE") {
-        buf.extend_from_slice(format!("Content-Length: {body_len}\r\n").as_bytes());
-    }
-    buf.extend_from_slice(b"\r\n");
-    buf
-}
-
-/// Encodes a response with its body.
-pub fn encode_response(status: u16, headers: &Headers, body: &[u8], close: bool) -> Vec<u8> {
-    let mut buf = encode_response_head(status, headers, body.len(), close);
-    buf.extend_from_slice(body);
-    buf
-}
-
-/// Encodes the head of a response with a body of `body_len` bytes.
-pub fn encode_response_head(
-    status: u16,
-    headers: &Headers,
-    body_len: usize,
-    close: bool,
-) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(HEAD_CAPACITY + body_len.min(MAX_INLINE_BODY_BYTES));
-    let reason = http::StatusCode::from_u16(status).ok().and_then(|code| code.canonical_reason());
-    buf.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason.unwrap_or("-")).as_bytes());
-    headers.encode_to(&mut buf);
-    if close {
-        buf.extend_from_slice(b"Connection: close\r\n");
-    }
-    if !matches!(status, 204 | 304) {
-        buf.extend_from_slice(format!("Content-Length: {body_len}\r\n").as_bytes());
-    }
-    buf.extend_from_slice(b"\r\n");
-    buf
-}
-
 /// Returns how the end of a request's body is determined.
 ///
 /// # Errors
--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -234,8 +234,10 @@
             }
         };
         let close = close || self.shared.is_stopping();
-        let (head, body) = self.encode_outcome(id.as_deref(), outcome, arrived, close);
-        let written = conn.write_message(&head, body.chunks());
+        let (mut head, body) = self.encode_outcome(id.as_deref(), outcome, arrived, close);
+        // The body stays in the account until it is written, also if it is copied behind its head.
+        let rest = join_small_body(&mut head, &body);
+        let written = conn.write_message(&head, rest);
         let written = timers.within(clock.now() + WRITE_TIMEOUT, written).await;
         match written {
             Some(Ok(())) if close => AfterRequest::Linger,
@@ -316,9 +318,7 @@
     ) -> (Vec<u8>, Body) {
         match outcome.result {
             Ok(Response { status, headers, body }) => {
-                let mut head = encode_response_head(status, &headers, body.len(), close);
-                let is_joined = join_small_body(&mut head, &body).is_empty();
-                (head, if is_joined { Body::default() } else { body })
+                (encode_response_head(status, &headers, body.len(), close), body)
             }
             Err(failure) => {
                 let mut headers = Headers::default();
--- a/src/settings/mesh.rs
+++ b/src/settings/mesh.rs
@@ -23,7 +23,7 @@
         "upstream", upstream: SocketAddr, None, Allowed::ReachableAddress,
             "Address of the upstream beside the node.";
         "threads", threads: u32, Some("1"), number(1, 64, ""), "Threads of the executor.";
-        "descriptors", descriptors: u32, Some("1024"), number(64, 1_048_576, ""),
+        "descriptors", descriptors: u32, Some("4096"), number(64, 1_048_576, ""),
             "File descriptors that the process may open; most of them serve clients.";
         "memory-mb", memory_mb: u32, Some("256"), number(16, 1_048_576, ""),
             "Memory that the process may use, in megabytes; most of it holds bodies.";
