--- a/src/mesh/ingress.rs
+++ b/src/mesh/ingress.rs
@@ -311,9 +311,12 @@
             }
         };
         let close = close || self.shared.is_stopping();
-        let (head, body) = self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
+        let (mut head, body) =
+            self.encode_outcome(ended.id.as_deref(), ended.outcome, arrived, close);
+        // The body stays in the account until it is written, also if it is copied behind its head.
+        let rest = join_small_body(&mut head, &body);
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
-        let written = conn.write_message(&head, body.chunks());
+        let written = conn.write_message(&head, rest);
         Served::Done(match self.shared.timers.within(until, written).await {
             Some(Ok(())) if close => AfterRequest::Linger,
             Some(Ok(())) => AfterRequest::KeepAlive,
@@ -442,9 +445,7 @@
             Ok(Response { status, headers, body }) => {
                 // A client would take a body for the beginning of the next response.
                 let body = if has_body(status) { body } else { Body::default() };
-                let mut head = encode_response_head(status, &headers, body.len(), close);
-                let is_joined = join_small_body(&mut head, &body).is_empty();
-                (head, if is_joined { Body::default() } else { body })
+                (encode_response_head(status, &headers, body.len(), close), body)
             }
             Err(failure) => {
                 let mut headers = Headers::default();
--- a/src/mesh/ingress/pipeline.rs
+++ b/src/mesh/ingress/pipeline.rs
@@ -21,7 +21,7 @@
 };
 use crate::mesh::{
     body::Body,
-    http::{Framing, HttpConn, RequestHead, request_framing, write_message},
+    http::{Framing, HttpConn, RequestHead, join_small_body, request_framing, write_message},
     metrics::Decision,
 };
 
@@ -264,9 +264,10 @@
         route.is_none_or(|route| route.retry_safety == RetrySafety::Idempotent)
     }
 
-    async fn write_response(&self, mut writer: TcpStream, head: Vec<u8>, body: Body) -> bool {
+    async fn write_response(&self, mut writer: TcpStream, mut head: Vec<u8>, body: Body) -> bool {
         let until = self.shared.clock.now() + WRITE_TIMEOUT;
-        let written = write_message(&mut writer, &head, body.chunks());
+        let rest = join_small_body(&mut head, &body);
+        let written = write_message(&mut writer, &head, rest);
         let written = self.shared.timers.within(until, written).await;
         matches!(written, Some(Ok(())))
     }
