--- a/crates/mesh/tests/mesh/node_health.rs
+++ b/crates/mesh/tests/mesh/node_health.rs
@@ -75,6 +75,9 @@
 fn late_peer_attracts_requests() {
     let now = Instant::now();
     let idle = OwnerState {
+        starts_per_minute: 0,
+        turned_away: None,
+        calls_wait: Duration::ZERO,
         running: 0,
         waiting: 0,
         slots: 6,
--- a/crates/mesh/tests/mesh/upstream_capacity.rs
+++ b/crates/mesh/tests/mesh/upstream_capacity.rs
@@ -89,6 +89,7 @@
     }
     assert!(queue.capacity(now).failures > 50);
     let at_most_once = AdmissionRequest {
+        sender: SenderId::default(),
         rank: 1,
         deadline: now + Duration::from_secs(1),
         wait_until: now,
