--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -28,7 +28,7 @@
 const DEFAULT_SLOWNESS_PERCENT: f64 = 150.0;
 
 /// Added cost of an owner in another zone, in percent of the usual service time.
-const OTHER_ZONE_COST_PERCENT: f64 = 30.0;
+const OTHER_ZONE_COST_PERCENT: f64 = 60.0;
 
 /// Added cost of another node in the same zone, in percent of the usual service time.
 const OTHER_NODE_COST_PERCENT: f64 = 5.0;
@@ -64,7 +64,7 @@
 /// Maximum random change of the cost of another zone, one draw for each request, in percent of the
 /// usual service time. The share of requests that leave a zone thus grows with the gain, over twice
 /// this span, so that demand does not move to and fro between zones.
-const ZONE_JITTER_PERCENT: f64 = 10.0;
+const ZONE_JITTER_PERCENT: f64 = 20.0;
 
 /// Weight of an owner's state above which its lack of capacity is trusted: one of up to 180 ms.
 const TRUSTED_FRESHNESS: f64 = 0.3;
