Limit hedges only while other requests need retries; keep requests in their zone unless the gain is clear

Cause: with the fixed shares of the retry budget a young fleet had no hedge for a request at a hanging upstream (processes::hanging_upstream_does_not_delay_requests, 504). Change: parts of the budget are kept for two seconds after a retry was needed for a more important reason.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -28,7 +28,7 @@
 const DEFAULT_SLOWNESS_PERCENT: f64 = 150.0;
 
 /// Added cost of an owner in another zone, in percent of the usual service time.
-const OTHER_ZONE_COST_PERCENT: f64 = 60.0;
+const OTHER_ZONE_COST_PERCENT: f64 = 45.0;
 
 /// Added cost of another node in the same zone, in percent of the usual service time.
 const OTHER_NODE_COST_PERCENT: f64 = 5.0;
@@ -64,7 +64,7 @@
 /// Maximum random change of the cost of another zone, one draw for each request, in percent of the
 /// usual service time. The share of requests that leave a zone thus grows with the gain, over twice
 /// this span, so that demand does not move to and fro between zones.
-const ZONE_JITTER_PERCENT: f64 = 20.0;
+const ZONE_JITTER_PERCENT: f64 = 15.0;
 
 /// Weight of an owner's state above which its lack of capacity is trusted: one of up to 180 ms.
 const TRUSTED_FRESHNESS: f64 = 0.3;
@@ -72,7 +72,7 @@
 /// Share of the mean slowness by which an owner's usual slowness may exceed it and still count as
 /// ordinary. Each owner tells a mean over a few slow periods, so the figures of equal upstreams differ
 /// by this much. The owners with the lowest figures are mostly in other zones, which have most owners.
-const ORDINARY_SLOWNESS_EXCESS: f64 = 0.5;
+const ORDINARY_SLOWNESS_EXCESS: f64 = 0.25;
 /// Usual service time that a peer's overhead is compared with: of the order of a request's work.
 const USUAL_SERVICE_TIME: Duration = Duration::from_millis(100);
 
@@ -84,6 +84,10 @@
 /// Share of started offers at which cold upstreams count as fast as warm ones.
 const FULL_ROOM: f64 = 0.2;
 
+/// Number of upstreams without failures that are assumed beside the known ones in the mean share of
+/// failures, so that a single failing upstream is not taken for the usual case.
+const ASSUMED_GOOD_UPSTREAMS: f64 = 3.0;
+
 /// An owner as seen by an ingress.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -234,7 +238,7 @@
         (age < CAPACITY_DECAY).then(|| failures(&state, age))
     });
     let (sum, count) = known.fold((0.0, 0.0), |(sum, count), share| (sum + share, count + 1.0));
-    if count > 0.0 { sum / count } else { 0.0 }
+    sum / (count + ASSUMED_GOOD_UPSTREAMS)
 }
 
 /// Returns whether an upstream is cold and has capacity, by a state of this age.
--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -26,17 +26,20 @@
 /// count in different windows.
 const SAFETY_FACTOR: f64 = 0.7;
 
-/// Share of the allowed retries that requests of clients may use. The rest is for nested calls: if one
-/// fails, the run that it belongs to is lost as well, while a client can send its request again. When
-/// upstreams refuse or fail a part of their requests at once, hundreds of requests a second need a
-/// retry, which is more than the budget allows.
+/// Share of the allowed retries that requests of clients may use while nested calls need retries: if a
+/// nested call fails, the run that it belongs to is lost as well, while a client can send its request
+/// again. When upstreams refuse or fail a part of their requests at once, hundreds of requests a second
+/// need a retry, which is more than the budget allows.
 const CLIENT_SHARE: f64 = 0.7;
 
-/// Share of the allowed retries that hedges may use: unlike one that was refused, a hedged request may
-/// still be answered by its first upstream.
+/// Share of the allowed retries that hedges may use while other requests need retries: unlike one that
+/// was refused, a hedged request may still be answered by its first upstream.
 const HEDGE_SHARE: f64 = 0.4;
 
-/// What a retry is for.
+/// Time for which a part of the retries is kept after one was needed for a more important reason.
+const RESERVE_DURATION: Duration = Duration::from_secs(2);
+
+/// What a retry is for, the most important reason first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryReason {
     /// An upstream has refused a nested call, or its run has failed.
@@ -47,17 +50,6 @@
     Slow,
 }
 
-impl RetryReason {
-    /// Returns the share of the allowed retries that may be used up for this reason.
-    fn budget_share(self) -> f64 {
-        match self {
-            Self::NestedFailed => 1.0,
-            Self::Failed => CLIENT_SHARE,
-            Self::Slow => HEDGE_SHARE,
-        }
-    }
-}
-
 /// Retry budget of this node for one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -65,12 +57,15 @@
     started_at: Instant,
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
+    /// When a retry was last needed for a nested call, and for a client's request.
+    needed_at: [Option<Instant>; 2],
 }
 
 impl RetryBudget {
     /// Creates the budget of a process that started at `started_at`.
     pub fn new(cfg: RetryBudgetConfig, started_at: Instant) -> Self {
-        Self { cfg, started_at, requests: VecDeque::new(), retries: VecDeque::new() }
+        let (requests, retries) = (VecDeque::new(), VecDeque::new());
+        Self { cfg, started_at, requests, retries, needed_at: [None; 2] }
     }
 
     /// Records a client request, which earns `ratio` retries.
@@ -86,7 +81,7 @@
         let uptime = now.saturating_duration_since(self.started_at).as_secs_f64();
         let ramp = (uptime / self.cfg.window.as_secs_f64()).min(1.0);
         let share = self.cfg.extra * ramp / nodes.max(1) as f64;
-        let allowed = (earned + share) * SAFETY_FACTOR * reason.budget_share();
+        let allowed = (earned + share) * SAFETY_FACTOR * self.usable_share(reason, now);
         if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
@@ -94,6 +89,27 @@
         true
     }
 
+    /// Returns the share of the allowed retries that may be used up for a reason, and records that a
+    /// retry is needed for it.
+    fn usable_share(&mut self, reason: RetryReason, now: Instant) -> f64 {
+        let needed = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < RESERVE_DURATION)
+        };
+        let [nested, client] = self.needed_at.map(needed);
+        match reason {
+            RetryReason::NestedFailed => {
+                self.needed_at[0] = Some(now);
+                1.0
+            }
+            RetryReason::Failed => {
+                self.needed_at[1] = Some(now);
+                if nested { CLIENT_SHARE } else { 1.0 }
+            }
+            RetryReason::Slow if nested || client => HEDGE_SHARE,
+            RetryReason::Slow => 1.0,
+        }
+    }
+
     /// Takes one retry even if the budget is exhausted. This is for a call that an upstream makes
     /// while it runs a retried request: refusing the call would waste that run.
     pub fn take_unchecked(&mut self, now: Instant) {
--- a/crates/mesh/tests/mesh/retry_budget.rs
+++ b/crates/mesh/tests/mesh/retry_budget.rs
@@ -58,11 +58,16 @@
 }
 
 /// Guards against hedges that leave no retries for refused requests, and against requests of clients
-/// that leave none for nested calls.
+/// that leave none for nested calls, while these need some.
 #[test]
 fn hedges_and_clients_leave_retries_for_others() {
     let start = Instant::now() + CFG.window;
     let mut budget = RetryBudget::new(CFG, start - CFG.window);
+    assert!(budget.try_take(RetryReason::Slow, 1, start));
+    let hedges = (0..100).filter(|_| budget.try_take(RetryReason::Slow, 1, start)).count();
+    assert!(hedges > 0 && !budget.try_take(RetryReason::NestedFailed, 1, start), "none needed any");
+    let mut budget = RetryBudget::new(CFG, start - CFG.window);
+    assert!(budget.try_take(RetryReason::NestedFailed, 1, start));
     let mut take = |reason| (0..100).filter(|_| budget.try_take(reason, 1, start)).count();
     assert!(take(RetryReason::Slow) > 0);
     assert!(take(RetryReason::Failed) > 0);
--- a/crates/routing/tests/outcome.rs
+++ b/crates/routing/tests/outcome.rs
@@ -52,6 +52,7 @@
         E::UpstreamTimeout,
         E::Cancelled,
         E::Unauthorized,
+        E::UnknownApiKey,
         E::Internal,
     ];
     for kind in kinds {
