Review: a client that pauses while it reads loses the answer

Cause: the sockets of clients have a TCP user timeout of 1 s, which also ends connections whose peer is alive and has a closed window.

--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -24,6 +24,8 @@
     pub running: AtomicUsize,
     /// Ids and targets of the requests that it has begun to run.
     pub runs: Mutex<Vec<(String, String)>>,
+    /// Bytes of its answers, at least.
+    pub answer_bytes: AtomicUsize,
     /// It accepts connections and answers nothing, as behind a machine without power.
     pub silent: AtomicBool,
     /// It has said that it leaves; its health checks fail from then on.
@@ -51,6 +53,7 @@
             work,
             running: AtomicUsize::new(0),
             runs: Mutex::default(),
+            answer_bytes: AtomicUsize::new(0),
             silent: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
@@ -155,7 +158,9 @@
         if self.gone() {
             return None;
         }
-        let body = format!("{id} by {}", self.id);
+        let mut body = format!("{id} by {}", self.id);
+        let padding = self.answer_bytes.load(Ordering::SeqCst).saturating_sub(body.len());
+        body.push_str(&" ".repeat(padding));
         let headers = [
             ("Oleandertiller-Attempt-Id", id),
             ("Oleandertiller-Response-Signature", format!("signed-{}", self.id)),
