Bind a request to the upstream that it was admitted for, also when it waits

Cause: the owner compared the offer's service and version with its upstream once, then waited for a health check and a slot, and read the announcement again when it sent the request. The expected id was that of the new upstream, so the 421 that guards against this could not come.

Change: the upstream is looked up by the offer's service and version after the health check and after the wait, and the announcement then goes with the request. Waiting requests are refused as not run when an upstream of another service or version takes over: they cannot be served here any more. It works since a request and its expected id now come from the same look at the upstream, and one that is not announced yet answers 421.

The same cause elsewhere: outcomes, load, cold time and findings of runs and health checks of an earlier incarnation counted for the current one; idle connections were kept by address, so that a 421 of the old process would have made the owner forget the new one. Both are tied to the incarnation now. A waiting request was registered in a step after it entered the queue, between which another thread could decide on it without telling it.

--- a/crates/mesh/src/admission_queue.rs
+++ b/crates/mesh/src/admission_queue.rs
@@ -515,6 +515,11 @@
         next.map(|(ticket, request)| (*ticket, *request))
     }
 
+    /// Removes and returns all waiting requests, for an upstream that cannot run them.
+    pub fn take_waiting(&mut self) -> Vec<Ticket> {
+        std::mem::take(&mut self.waiting).into_keys().collect()
+    }
+
     /// Records that a request has taken the slot that [`Self::dequeue`] gave it; from then on
     /// [`Self::release`] frees the slot.
     pub fn confirm(&mut self, ticket: Ticket) {
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -53,6 +53,13 @@
     pub cold_for: Duration,
 }
 
+impl Announcement {
+    /// Returns whether the upstream runs a version of a service.
+    pub fn runs(&self, service: &ServiceName, version: &VersionName) -> bool {
+        self.service == *service && self.version == *version
+    }
+}
+
 /// Effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementOutcome {
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -15,7 +15,7 @@
     time::{Duration, Instant},
 };
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use event_listener::Event;
 use futures_util::future::{Either, select};
 use oleandertiller_mesh::{
@@ -26,7 +26,7 @@
     rollout::Evidence,
     sender_share::SenderId,
     stop::StopSchedule,
-    upstream::{Announcement, AnnouncementOutcome, Stage, Upstream},
+    upstream::{Announcement, AnnouncementOutcome, Incarnation, Stage, Upstream},
     upstream_capacity::{FailingState, KneeEstimate},
     usage::Windows,
 };
@@ -67,6 +67,38 @@
     knee: KneeEstimate,
 }
 
+impl Inner {
+    /// Returns the upstream if it is the one that the offer is for.
+    fn upstream_for(&self, offer: &Offer) -> Option<&Announcement> {
+        self.upstream.latest().filter(|latest| latest.runs(&offer.service, &offer.version))
+    }
+
+    /// Returns whether an incarnation is still the current one.
+    fn is_current(&self, incarnation: &Incarnation) -> bool {
+        self.upstream.latest().is_some_and(|latest| latest.incarnation == *incarnation)
+    }
+
+    /// Returns the channel on which a waiting request gets its decision. It is to be added before
+    /// another thread can decide on the request.
+    fn add_waiter(&mut self, ticket: Ticket) -> Receiver<Result<(), ErrorKind>> {
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiters.insert(ticket, tx);
+        rx
+    }
+
+    /// Refuses all waiting requests; returns their number.
+    fn refuse_waiting(&mut self, why: ErrorKind) -> usize {
+        let tickets = self.queue.take_waiting();
+        for ticket in &tickets {
+            if let Some(tx) = self.waiters.remove(ticket) {
+                // An error means that the request has been withdrawn.
+                let _ = tx.try_send(Err(why));
+            }
+        }
+        tickets.len()
+    }
+}
+
 /// A request that the upstream is running.
 struct RunningRequest {
     id: Arc<str>,
@@ -110,7 +142,8 @@
     record_changed: Sender<()>,
     /// Notified when the other owners have to learn of a crash.
     pub crash_seen: Event,
-    health_conn: async_std::sync::Mutex<Option<HttpConn>>,
+    /// Idle connection for health checks, and the upstream that it leads to.
+    health_conn: async_std::sync::Mutex<Option<(Incarnation, HttpConn)>>,
     /// Bytes of the bodies of the requests that the upstream has.
     sent_bytes: AtomicUsize,
 }
@@ -227,7 +260,11 @@
         let rate = self.deployment().cold_rate(&service);
         let outcome = {
             let mut inner = self.lock();
-            let previous_stage = inner.upstream.latest().map(|latest| latest.stage);
+            let previous = inner.upstream.latest().cloned();
+            let previous_stage = previous.as_ref().map(|previous| previous.stage);
+            let runs_same = previous
+                .as_ref()
+                .is_none_or(|previous| previous.runs(&announcement.service, &announcement.version));
             let outcome = inner.upstream.apply(announcement);
             let is_newest =
                 matches!(outcome, AnnouncementOutcome::Replaced | AnnouncementOutcome::Updated);
@@ -242,6 +279,12 @@
                 self.metrics.set_request_limit(None);
                 self.pool.clear();
             }
+            if outcome == AnnouncementOutcome::Replaced && !runs_same {
+                let refused = inner.refuse_waiting(ErrorKind::NoUpstream);
+                log::info!(upstream = &*id, service = service.as_str(), refused = refused,
+                    previous = previous.as_ref().map_or("", |previous| &*previous.incarnation.id);
+                    "upstream of another service or version has taken over the address");
+            }
             if outcome == AnnouncementOutcome::Replaced
                 || outcome != AnnouncementOutcome::Stale && previous_stage != Some(stage)
             {
@@ -350,10 +393,7 @@
 
     async fn admit_and_run(&self, offer: &Offer, deadline: Instant) -> End {
         let not_run = |why| End::NotRun { why, arrived: false };
-        let is_expected = |latest: &Announcement| {
-            latest.service == offer.service && latest.version == offer.version
-        };
-        if offer.node != self.cfg.node || !self.lock().upstream.latest().is_some_and(is_expected) {
+        if offer.node != self.cfg.node || self.lock().upstream_for(offer).is_none() {
             return not_run(ErrorKind::NoUpstream);
         }
         let stop_schedule = self.lock().stop_schedule;
@@ -386,33 +426,48 @@
         };
         let needs_grant = self.deployment().needs_grant(&offer.service, &offer.version);
         let needs_grant = needs_grant.unwrap_or(offer.rolling_out);
-        let admission = {
+        let (admission, waiting) = {
             let mut inner = self.lock();
+            // The upstream may have been replaced during the health check.
+            if inner.upstream_for(offer).is_none() {
+                return not_run(ErrorKind::NoUpstream);
+            }
             if !inner.exposure.try_start(&offer.version, needs_grant, now) {
                 return not_run(ErrorKind::VersionVetoed);
             }
-            inner.queue.admit(admission_request, now)
+            let admission = inner.queue.admit(admission_request, now);
+            let waiting = match admission {
+                Admission::Wait(ticket) => Some((ticket, inner.add_waiter(ticket))),
+                Admission::Run | Admission::Refuse(_) => None,
+            };
+            (admission, waiting)
         };
         // Given back unless the request starts, also if its client leaves while it waits.
         let counted = CountedStart { owner: self, version: &offer.version };
-        match admission {
-            Admission::Run => {}
-            Admission::Refuse(why) => return not_run(why),
-            Admission::Wait(ticket) => {
-                if let Err(why) = self.wait_for_slot(ticket, wait_until).await {
-                    return not_run(why);
-                }
-                // The others may have reported crashes meanwhile.
-                match self.crash_verdict(offer).0 {
-                    Verdict::Run => {}
-                    Verdict::NotHere | Verdict::Refuse => {
-                        self.lock().queue.release(None);
-                        self.notify_waiters();
-                        return not_run(ErrorKind::CrashSuspect);
-                    }
-                }
+        if let Admission::Refuse(why) = admission {
+            return not_run(why);
+        }
+        let mut verdict = Verdict::Run;
+        if let Some((ticket, decision)) = waiting {
+            if let Err(why) = self.wait_for_slot(ticket, decision, wait_until).await {
+                return not_run(why);
             }
+            // The others may have reported crashes meanwhile.
+            verdict = self.crash_verdict(offer).0;
         }
+        // From here on, the upstream's identity travels with the request.
+        let upstream = self.lock().upstream_for(offer).cloned();
+        let announcement = match (upstream, verdict) {
+            (Some(announcement), Verdict::Run) => announcement,
+            (upstream, _) => {
+                self.lock().queue.release(None);
+                self.notify_waiters();
+                return not_run(match upstream {
+                    Some(_) => ErrorKind::CrashSuspect,
+                    None => ErrorKind::NoUpstream,
+                });
+            }
+        };
         counted.confirm();
         self.deployment().nested_calls.on_request(&offer.route, self.clock.now());
         let started = self.clock.now();
@@ -429,9 +484,12 @@
             started,
         );
         let mut slot = SlotGuard { owner: self, id: &offer.id, service_time: None };
-        let end = self.run_on_upstream(offer, deadline).await;
-        self.on_run_end(offer, run_start, &end);
-        if let End::Answered(_) = end {
+        let end = self.run_on_upstream(offer, &announcement, deadline).await;
+        let is_current = self.lock().is_current(&announcement.incarnation);
+        if let End::Answered(_) = end
+            && is_current
+        {
+            self.on_run_end(offer, run_start, &end);
             slot.service_time = Some(self.clock.now().saturating_duration_since(started));
         }
         end
@@ -460,14 +518,17 @@
     }
 
     /// Waits for the decision on a queued request, and keeps the load figures current meanwhile.
-    async fn wait_for_slot(&self, ticket: Ticket, until: Instant) -> Result<(), ErrorKind> {
-        let (tx, rx) = async_channel::bounded(1);
-        self.lock().waiters.insert(ticket, tx);
+    async fn wait_for_slot(
+        &self,
+        ticket: Ticket,
+        decision: Receiver<Result<(), ErrorKind>>,
+        until: Instant,
+    ) -> Result<(), ErrorKind> {
         let _queue_guard = QueueGuard { owner: self, ticket };
         loop {
             self.notify_waiters();
             let next_check = self.timers.at((self.clock.now() + LOAD_CHECK_INTERVAL).min(until));
-            match select(pin!(rx.recv()), next_check).await {
+            match select(pin!(decision.recv()), next_check).await {
                 Either::Left((decision, _)) => {
                     let decision = decision.unwrap_or(Err(ErrorKind::Internal));
                     if decision.is_ok() {
--- a/src/mesh/owner/health.rs
+++ b/src/mesh/owner/health.rs
@@ -75,12 +75,15 @@
         let Some(announcement) = self.announcement() else { return };
         let Some(path) = self.health_path(&announcement) else { return };
         self.lock().next_health_check = Some(now + self.cfg.min_health_check_interval);
-        match self.check_health(idle_conn.take(), announcement.address, &path).await {
+        let incarnation = &announcement.incarnation;
+        let idle = idle_conn.take().filter(|(upstream, _)| upstream == incarnation);
+        let idle = idle.map(|(_, conn)| conn);
+        match self.check_health(idle, announcement.address, &path).await {
             Some((conn, head)) => {
                 if !head.close {
-                    *idle_conn = Some(conn);
+                    *idle_conn = Some((incarnation.clone(), conn));
                 }
-                self.on_health_response(&head);
+                self.on_health_response(&head, &announcement);
             }
             None => {
                 self.lock().next_health_check = Some(now + HEALTH_CHECK_RETRY_DELAY);
@@ -125,21 +128,21 @@
         Some(service.health_path.clone())
     }
 
-    fn on_health_response(&self, head: &ResponseHead) {
-        let Some(announcement) = self.announcement() else { return };
-        if head
-            .headers
-            .get(header::UPSTREAM_ID)
-            .is_some_and(|id| id != &*announcement.incarnation.id)
-        {
+    /// Applies the response to a health check of the upstream that announced itself so.
+    fn on_health_response(&self, head: &ResponseHead, announcement: &Announcement) {
+        let incarnation = &announcement.incarnation;
+        if head.headers.get(header::UPSTREAM_ID).is_some_and(|id| id != &*incarnation.id) {
             return;
         }
-        self.on_load(&head.headers);
-        self.on_condition(&head.headers, &announcement.incarnation, "health check");
+        self.on_load(&head.headers, incarnation);
+        self.on_condition(&head.headers, incarnation, "health check");
         let cold = head.headers.get(header::COLD).and_then(header::read_millis);
         if let Some(cold) = cold {
             let rate = self.deployment().cold_rate(&announcement.service);
-            self.lock().queue.set_cold_limit(cold, rate, self.clock.now());
+            let mut inner = self.lock();
+            if inner.is_current(incarnation) {
+                inner.queue.set_cold_limit(cold, rate, self.clock.now());
+            }
         }
     }
 
@@ -152,9 +155,7 @@
         source: &'static str,
     ) {
         let mut inner = self.lock();
-        let is_current =
-            inner.upstream.latest().is_some_and(|latest| latest.incarnation == *incarnation);
-        if !is_current {
+        if !inner.is_current(incarnation) {
             return;
         }
         let id = &*incarnation.id;
@@ -184,10 +185,12 @@
         }
     }
 
-    /// Applies the load figures of a response, if it has any.
-    pub(super) fn on_load(&self, headers: &Headers) {
-        if let Some(figures) = headers.get(header::LOAD).and_then(header::read_load) {
-            self.lock().queue.on_load(figures, self.clock.now());
+    /// Applies the load figures of a response, if it has any and the upstream is the current one.
+    pub(super) fn on_load(&self, headers: &Headers, incarnation: &Incarnation) {
+        let Some(figures) = headers.get(header::LOAD).and_then(header::read_load) else { return };
+        let mut inner = self.lock();
+        if inner.is_current(incarnation) {
+            inner.queue.on_load(figures, self.clock.now());
         }
     }
 }
--- a/src/mesh/owner/run.rs
+++ b/src/mesh/owner/run.rs
@@ -1,7 +1,6 @@
 //! Sends requests to the upstream and records their outcomes.
 
 use std::{
-    net::SocketAddr,
     sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
@@ -40,22 +39,25 @@
 
 impl<C: Clock> Owner<C> {
     /// Sends a request to the upstream and returns how it ended.
-    pub(super) async fn run_on_upstream(&self, offer: &Offer, deadline: Instant) -> End {
-        let Some(announcement) = self.announcement() else {
-            return End::NotRun { why: ErrorKind::NoUpstream, arrived: false };
-        };
+    pub(super) async fn run_on_upstream(
+        &self,
+        offer: &Offer,
+        announcement: &Announcement,
+        deadline: Instant,
+    ) -> End {
         let started = self.clock.now();
         let slowness = self.lock().queue.slowness();
         let Some(_sent_bytes) = SentBytes::try_add(&self.sent_bytes, offer.body.len()) else {
             return End::NotRun { why: ErrorKind::Overloaded, arrived: false };
         };
-        let Some(pooled) = self.take_or_connect(announcement.address, deadline).await else {
-            self.update_failures(&announcement, |queue, now| queue.record_outcome(true, now));
+        let Some(pooled) = self.take_or_connect(announcement, deadline).await else {
+            self.update_failures(announcement, |queue, now| queue.record_outcome(true, now));
             return End::NotRun { why: ErrorKind::ConnectFailed, arrived: false };
         };
         let remaining = time_left(deadline, self.clock.now());
         if remaining.is_zero() {
-            self.pool.put(pooled.conn, announcement.address, started + Duration::from_secs(1));
+            let idle_until = started + Duration::from_secs(1);
+            self.pool.put(pooled.conn, &announcement.incarnation, idle_until);
             return End::NotRun { why: ErrorKind::DeadlineExceeded, arrived: false };
         }
         let mut headers = offer.headers.clone();
@@ -65,8 +67,7 @@
         let mut head = encode_request_head(method, target, &headers, body.len());
         let rest = join_small_body(&mut head, body);
         let reused = pooled.reused;
-        let run =
-            RunGuard { owner: self, offer, version: &announcement.version, started, slowness };
+        let run = RunGuard { owner: self, offer, announcement, started, slowness };
         let window = self.usage.begin(offer, self.clock.wall());
         let work = exchange(pooled, &head, rest, &offer.id, &self.cfg.response_limits);
         let result = self.timers.within(deadline, work).await;
@@ -81,12 +82,12 @@
         if let Some(Err(error)) = &result
             && error.why == ErrorKind::ConnectionLost
         {
-            self.on_connection_lost(offer, &announcement).await;
+            self.on_connection_lost(offer, announcement).await;
         }
         let end = match result {
             None => End::Unknown(ErrorKind::UpstreamTimeout),
             Some(Err(ExchangeError { why, .. })) => End::Unknown(why),
-            Some(Ok(exchange)) => self.classify_response(exchange, &announcement, now),
+            Some(Ok(exchange)) => self.classify_response(exchange, announcement, now),
         };
         if let End::NotRun { .. } = end {
             self.usage.take_back(offer, window);
@@ -95,7 +96,7 @@
             self.on_completed(offer);
         }
         run.end();
-        self.record_outcome(offer, &announcement, &end, normalized(service_time, slowness));
+        self.record_outcome(offer, announcement, &end, normalized(service_time, slowness));
         log::debug!(id = &*offer.id, reused = reused, slowness = slowness,
             route = &*offer.route, run_ms = service_time.as_millis() as u64;
             "upstream finished request");
@@ -162,13 +163,18 @@
         (refused || replaced) && serving
     }
 
-    async fn take_or_connect(&self, address: SocketAddr, deadline: Instant) -> Option<PooledConn> {
+    async fn take_or_connect(
+        &self,
+        announcement: &Announcement,
+        deadline: Instant,
+    ) -> Option<PooledConn> {
         let now = self.clock.now();
-        if let Some(pooled) = self.pool.take(address, now) {
+        if let Some(pooled) = self.pool.take(&announcement.incarnation, now) {
             return Some(pooled);
         }
         let until = deadline.min(now + CONNECT_TIMEOUT);
-        let conn = self.timers.within(until, HttpConn::connect(address)).await?.ok()?;
+        let conn =
+            self.timers.within(until, HttpConn::connect(announcement.address)).await?.ok()?;
         Some(PooledConn { conn, reused: false })
     }
 
@@ -181,9 +187,9 @@
     ) -> End {
         let Exchange { response, conn } = exchange;
         if let Some((conn, idle)) = conn {
-            self.pool.put(conn, announcement.address, now + idle);
+            self.pool.put(conn, &announcement.incarnation, now + idle);
         }
-        self.on_load(&response.headers);
+        self.on_load(&response.headers, &announcement.incarnation);
         if response.status == header::STATUS_MISDIRECTED {
             self.forget_upstream(&announcement.incarnation);
             return End::NotRun { why: ErrorKind::NoUpstream, arrived: false };
@@ -218,6 +224,10 @@
         end: &End,
         time: Duration,
     ) {
+        // The outcome says nothing of an upstream that has taken over the address meanwhile.
+        if !self.lock().is_current(&announcement.incarnation) {
+            return;
+        }
         // A timeout counts as a slow run, not a failure: some requests take longer than allowed.
         let result = match end {
             End::Answered(response) if response.status < 500 => Some(time),
@@ -253,6 +263,9 @@
         record: impl FnOnce(&mut AdmissionQueue, Instant),
     ) {
         let mut inner = self.lock();
+        if !inner.is_current(&announcement.incarnation) {
+            return;
+        }
         let now = self.clock.now();
         record(&mut inner.queue, now);
         let failures = inner.queue.capacity(now).failures;
@@ -308,7 +321,7 @@
 struct RunGuard<'a, C: Clock> {
     owner: &'a Owner<C>,
     offer: &'a Offer,
-    version: &'a VersionName,
+    announcement: &'a Announcement,
     started: Instant,
     slowness: u32,
 }
@@ -322,14 +335,18 @@
 
 impl<C: Clock> Drop for RunGuard<'_, C> {
     fn drop(&mut self) {
+        let Announcement { incarnation, version, .. } = self.announcement;
+        if !self.owner.lock().is_current(incarnation) {
+            return;
+        }
         let time = self.owner.clock.now().saturating_duration_since(self.started);
         let usual = self.owner.deployment().usual_answer_time(&self.offer.route);
         if !usual.is_zero() && time >= usual {
             self.owner.lock().queue.record_overdue(self.owner.clock.now());
         }
         let time = normalized(time, self.slowness);
-        self.owner.lock().evidence.record_abandoned(self.version, &self.offer.route, time);
-        self.owner.update_veto(&self.offer.service, self.version);
+        self.owner.lock().evidence.record_abandoned(version, &self.offer.route, time);
+        self.owner.update_veto(&self.offer.service, version);
     }
 }
 
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
+use oleandertiller_mesh::upstream::Incarnation;
 use oleandertiller_model::ErrorKind;
 use oleandertiller_platform::header;
 
@@ -42,7 +43,8 @@
 
 struct IdleConn {
     conn: HttpConn,
-    address: SocketAddr,
+    /// Upstream that the connection leads to.
+    upstream: Incarnation,
     until: Instant,
 }
 
@@ -59,10 +61,11 @@
 }
 
 impl Pool {
-    /// Returns an open idle connection, if there is one.
-    pub fn take(&self, address: SocketAddr, now: Instant) -> Option<PooledConn> {
+    /// Returns an open idle connection to the upstream, if there is one, and closes those to earlier
+    /// upstreams at its address.
+    pub fn take(&self, upstream: &Incarnation, now: Instant) -> Option<PooledConn> {
         let mut idle = self.lock();
-        idle.retain(|idle| idle.until > now && idle.address == address);
+        idle.retain(|idle| idle.until > now && idle.upstream == *upstream);
         while let Some(idle) = idle.pop() {
             if idle.conn.is_idle_and_open() {
                 return Some(PooledConn { conn: idle.conn, reused: true });
@@ -72,10 +75,10 @@
     }
 
     /// Adds a connection that may be reused until `until`, unless the pool is full.
-    pub fn put(&self, conn: HttpConn, address: SocketAddr, until: Instant) {
+    pub fn put(&self, conn: HttpConn, upstream: &Incarnation, until: Instant) {
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConn { conn, address, until });
+            idle.push(IdleConn { conn, upstream: upstream.clone(), until });
         }
     }
 
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -11,6 +11,7 @@
 mod pipelining;
 mod planned_stop;
 mod processes;
+mod replaced_upstream;
 mod shortage;
 mod slow_version;
 mod soak;
