Keep the departure of an upstream in the store, beyond the process that acknowledged it

Cause: that an upstream has left was known in the memory of its node and in its record, which lives under the lease of the process. A planned stop ends the lease, a long loss of power lets it expire.

Change: the departure is a key of its own, under a lease of ten minutes that nobody renews, written in one change with the record; the acknowledgement waits for both. The next process reads it and takes it as if the upstream said so again. It works since the start of the upstream tells a late announcement from a successor under the same id.

The same cause elsewhere: all ways of leaving (DELETE, draining, responses that say so), a departure of which a process heard before any announcement, and a restore of the store from a copy.

--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -162,6 +162,32 @@
         false
     }
 
+    /// Returns the incarnation that is leaving or has left, if there is no later one. A later process
+    /// of the node has to know it, since an announcement that it sent before may still arrive. If its
+    /// start is not known, it could not be told from its successor and is left out.
+    pub fn departure(&self) -> Option<Incarnation> {
+        match (&self.latest, &self.departed) {
+            (Some(latest), _) => {
+                (latest.stage != Stage::Serving).then(|| latest.incarnation.clone())
+            }
+            (None, Some((id, Some(started_ms)))) => {
+                Some(Incarnation { id: id.clone(), started_ms: *started_ms })
+            }
+            (None, _) => None,
+        }
+    }
+
+    /// Applies a departure that an earlier process of the node has stored; returns whether the
+    /// current upstream has left by that. A departure that this process has seen itself is later.
+    pub fn recall_departure(&mut self, incarnation: &Incarnation) -> bool {
+        let is_latest = self.latest.as_ref().is_some_and(|l| l.incarnation.id == incarnation.id);
+        let is_known = self.departure().as_ref() == Some(incarnation);
+        if is_known || !is_latest && self.departed.is_some() {
+            return false;
+        }
+        self.leave(&incarnation.id, Some(incarnation.started_ms))
+    }
+
     /// Forgets an incarnation at whose address another upstream answers.
     pub fn forget(&mut self, incarnation: &Incarnation) {
         if self.latest.as_ref().is_some_and(|latest| latest.incarnation == *incarnation) {
--- a/crates/mesh/tests/mesh/upstream.rs
+++ b/crates/mesh/tests/mesh/upstream.rs
@@ -142,6 +142,50 @@
     assert_eq!(restarted.latest().unwrap().stage, Stage::Serving);
 }
 
+/// Guards against a departure that an earlier process of the node acknowledged and that a late
+/// announcement undoes, whether it arrives before the departure is read or after.
+#[test]
+fn departure_that_an_earlier_process_stored_is_undone() {
+    for draining in [false, true] {
+        let mut earlier = Upstream::default();
+        earlier.apply(announcement("i-1", 10, 4, Stage::Serving));
+        assert_eq!(earlier.departure(), None);
+        match draining {
+            true => drop(earlier.apply(announcement("i-1", 10, 5, Stage::Draining))),
+            false => assert!(earlier.leave("i-1", None)),
+        }
+        let departure = earlier.departure().unwrap();
+        assert!(!earlier.recall_departure(&departure), "its own departure is no news");
+        let late = announcement("i-1", 10, 6, Stage::Serving);
+
+        let mut recalled_first = Upstream::default();
+        recalled_first.recall_departure(&departure);
+        assert_eq!(recalled_first.apply(late.clone()), AnnouncementOutcome::Stale);
+        let mut recalled_last = Upstream::default();
+        recalled_last.apply(late);
+        assert!(recalled_last.recall_departure(&departure));
+        assert_ne!(recalled_last.latest().unwrap().stage, Stage::Serving);
+        for mut upstream in [recalled_first, recalled_last] {
+            assert_eq!(upstream.departure().as_ref(), Some(&departure));
+            let successor = announcement("i-1", 20, 1, Stage::Serving);
+            assert_eq!(upstream.apply(successor), AnnouncementOutcome::Replaced);
+            assert_eq!(upstream.departure(), None);
+            upstream.recall_departure(&departure);
+            assert_eq!(upstream.latest().unwrap().stage, Stage::Serving);
+        }
+    }
+}
+
+/// Guards against a departure from the store that hides one that the process has seen itself.
+#[test]
+fn stored_departure_hides_a_later_one() {
+    let mut upstream = Upstream::default();
+    upstream.leave("i-2", Some(20));
+    upstream.recall_departure(&announcement("i-1", 10, 1, Stage::Serving).incarnation);
+    let late = announcement("i-2", 20, 7, Stage::Serving);
+    assert_eq!(upstream.apply(late), AnnouncementOutcome::Stale);
+}
+
 proptest! {
     /// Guards against an order of messages in which an earlier incarnation or stage wins. A server never
     /// goes back to serving, so its furthest stage is the latest, whichever message arrives last.
--- a/src/mesh/control.rs
+++ b/src/mesh/control.rs
@@ -142,14 +142,14 @@
     }
 
     async fn on_leave(&self, id: &str, body: &[u8]) -> u16 {
-        if self.shared.owner.on_leave(id, heartbeat::read_leave(body)) {
-            self.wait_until_stored().await;
-        }
+        self.shared.owner.on_leave(id, heartbeat::read_leave(body));
+        self.wait_until_stored().await;
         200
     }
 
-    /// Waits up to [`MAX_RECORD_WAIT`] until the store holds the upstream's new stage: if this node
-    /// restarts while the upstream is leaving, it must not use the upstream again.
+    /// Waits up to [`MAX_RECORD_WAIT`] until the store holds the upstream's new stage and its
+    /// departure: if this node restarts while the upstream is leaving, it must not use the upstream
+    /// again.
     async fn wait_until_stored(&self) {
         self.shared.record_changed();
         let deadline = self.shared.clock.now() + MAX_RECORD_WAIT;
--- a/src/mesh/daemon.rs
+++ b/src/mesh/daemon.rs
@@ -17,7 +17,7 @@
 use oleandertiller_mesh::{
     config::Config, exposure::ExposureLimit, leadership::ProcessId, members::NodeRecord,
     memory_budget::Holder, node_health::NodeHealth, retry_budget::RetryBudgetConfig,
-    stop::StopSchedule,
+    stop::StopSchedule, upstream::Incarnation,
 };
 use oleandertiller_model::{
     Clock, ServiceName, SystemClock, codec,
@@ -122,6 +122,8 @@
     slow: AtomicBool,
     /// The record as last written, and the store's revision of it.
     stored_record: Mutex<Option<(u64, NodeRecord)>>,
+    /// Departure of the upstream that the store has.
+    stored_departure: Mutex<Option<Incarnation>>,
     lease: Mutex<Option<u64>>,
     /// Until when the lease lasts at least.
     lease_until: Mutex<Option<Instant>>,
@@ -194,9 +196,22 @@
         }
     }
 
-    /// Returns whether the store has the current record.
+    /// Returns whether the store has the current record and the departure of the upstream, if any.
     pub fn is_record_stored(&self) -> bool {
-        self.stored_record().as_ref().is_some_and(|(_, record)| *record == self.record())
+        let record_stored =
+            self.stored_record().as_ref().is_some_and(|(_, record)| *record == self.record());
+        record_stored && self.unstored_departure().is_none()
+    }
+
+    /// Returns the departure of the upstream if the store does not have it.
+    pub fn unstored_departure(&self) -> Option<Incarnation> {
+        let departure = self.owner.departure()?;
+        (self.stored_departure().as_ref() != Some(&departure)).then_some(departure)
+    }
+
+    /// Sets the departure of the upstream that the store has.
+    pub fn set_stored_departure(&self, departure: Option<Incarnation>) {
+        *self.stored_departure() = departure;
     }
 
     /// Sets the record that the store has, with its revision there.
@@ -243,6 +258,7 @@
     pub fn forget_written(&self) {
         self.set_lease(None);
         *self.stored_record() = None;
+        *self.stored_departure() = None;
     }
 
     /// Returns the limit on requests to a bad version, if the deployment has rollouts.
@@ -275,6 +291,10 @@
     fn stored_record(&self) -> MutexGuard<'_, Option<(u64, NodeRecord)>> {
         self.stored_record.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn stored_departure(&self) -> MutexGuard<'_, Option<Incarnation>> {
+        self.stored_departure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Handles calls from other nodes.
@@ -499,6 +519,7 @@
         store_read: Flag::default(),
         store_unreachable: Flag::default(),
         stored_record: Mutex::new(None),
+        stored_departure: Mutex::new(None),
         settings,
         clock,
         timers,
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -307,6 +307,19 @@
         current_left
     }
 
+    /// Returns the incarnation of the upstream that is leaving or has left, if any.
+    pub fn departure(&self) -> Option<Incarnation> {
+        self.lock().upstream.departure()
+    }
+
+    /// Applies the departure of an upstream that an earlier process of this node stored.
+    pub fn recall_departure(&self, incarnation: &Incarnation) {
+        let current_left = self.lock().upstream.recall_departure(incarnation);
+        log::info!(upstream = &*incarnation.id, born = incarnation.started_ms,
+            current = current_left; "departure of an upstream recalled");
+        self.update_admission();
+    }
+
     /// Refuses requests from now on that are not likely to end before the process exits.
     pub fn begin_stop(&self, schedule: StopSchedule) {
         self.lock().stop_schedule = Some(schedule);
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -13,12 +13,22 @@
 };
 use oleandertiller_model::Clock;
 use oleandertiller_platform::store::{Answer, Call, Transaction};
+use serde::Serialize;
 
 use super::daemon::Shared;
 
 /// Prefix of the keys of node records; the node's name follows.
 pub const RECORD_PREFIX: &str = "mesh/nodes/";
 
+/// Prefix of the keys of departed upstreams; the name of their node follows. Unlike the record, the
+/// key outlives the node's process: an upstream may serve on while its node restarts, and an
+/// announcement that it sent before may arrive after that.
+pub const DEPARTURE_PREFIX: &str = "mesh/departures/";
+
+/// Life of the key of a departed upstream: the longest lease that the platform grants, many times
+/// as long as an upstream serves on or an announcement is delayed.
+const DEPARTURE_TTL: Duration = Duration::from_secs(600);
+
 /// Pause after a failed call; records must be back two seconds after the store's recovery.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -36,6 +46,8 @@
     /// Life of the lease, or of the next one.
     lease_ttl: Duration,
     written_record: Option<NodeRecord>,
+    /// Lease for the next departure that is written.
+    departure_lease: Option<u64>,
     /// Era of the store in which the lease was granted; 0 before the first one.
     era: u64,
     failing: bool,
@@ -45,7 +57,15 @@
     /// Creates a registration that has written nothing.
     pub fn new(shared: Arc<Shared<C>>) -> Self {
         let lease_ttl = shared.settings.store.lease;
-        Self { shared, lease: None, lease_ttl, written_record: None, era: 0, failing: false }
+        Self {
+            shared,
+            lease: None,
+            lease_ttl,
+            written_record: None,
+            departure_lease: None,
+            era: 0,
+            failing: false,
+        }
     }
 
     /// Keeps the record until the channel is closed, then removes it. A message on the channel
@@ -126,6 +146,7 @@
             "lease given up because the store was restored");
         self.lease = None;
         self.written_record = None;
+        self.departure_lease = None;
         self.shared.forget_written();
         true
     }
@@ -171,42 +192,68 @@
         true
     }
 
-    /// Writes the record if it has changed; returns whether the store has it.
+    /// Writes the record if it has changed, and the departure of the upstream; returns whether the
+    /// store has them.
     async fn write(&mut self) -> bool {
         let Some(lease) = self.lease else { return false };
         if self.shared.take_rewrite() {
             self.written_record = None;
         }
         let record = self.shared.record();
-        if self.written_record.as_ref() == Some(&record) {
+        let departure = self.shared.unstored_departure();
+        let record_written = self.written_record.as_ref() == Some(&record);
+        if record_written && departure.is_none() {
             return true;
         }
-        let key = format!("{RECORD_PREFIX}{}", record.node);
-        let value = match serde_json::to_vec(&record) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!(error:% = error; "record could not be encoded as JSON");
-                return false;
-            }
-        };
-        let transaction =
-            Transaction { writes: vec![(key, value, lease)], ..Transaction::default() };
+        let mut writes = Vec::new();
+        if !record_written {
+            let Some(value) = encode(&record) else { return false };
+            writes.push((format!("{RECORD_PREFIX}{}", record.node), value, lease));
+        }
+        let mut written_departure = None;
+        if let Some(departure) = &departure
+            && let Some(lease) = self.grant_departure_lease().await
+        {
+            let Some(value) = encode(departure) else { return false };
+            writes.push((format!("{DEPARTURE_PREFIX}{}", record.node), value, lease));
+            written_departure = Some(departure.clone());
+        }
+        if writes.is_empty() {
+            return false;
+        }
+        let transaction = Transaction { writes, ..Transaction::default() };
         match self.shared.store.call(&Call::Write(transaction)).await {
             // The write took effect under a lease that may belong to another node by now.
             Ok(Answer::Written { .. }) if self.forget_if_restored() => false,
             Ok(Answer::Written { revision }) => {
                 self.shared.set_stored_record(revision, &record);
                 self.written_record = Some(record);
-                true
+                if written_departure.is_some() {
+                    self.departure_lease = None;
+                    self.shared.set_stored_departure(written_departure.clone());
+                }
+                written_departure == departure
             }
             Ok(Answer::NoLease) => {
                 self.set_lease(None);
+                self.departure_lease = None;
                 false
             }
             _ => false,
         }
     }
 
+    /// Returns a lease for a departure, or `None` if the store grants none.
+    async fn grant_departure_lease(&mut self) -> Option<u64> {
+        if self.departure_lease.is_none() {
+            let answer = self.shared.store.call(&Call::Grant { ttl: DEPARTURE_TTL }).await;
+            if let Ok(Answer::Leased { lease, .. }) = answer {
+                self.departure_lease = lease;
+            }
+        }
+        self.departure_lease
+    }
+
     fn set_lease(&mut self, lease: Option<u64>) {
         self.lease = lease;
         self.shared.set_lease(lease);
@@ -214,9 +261,23 @@
 
     async fn revoke_lease(mut self) {
         self.forget_if_restored();
+        if self.shared.unstored_departure().is_some() {
+            // The next process of this node has to know it; a failure leaves nothing to be done.
+            self.write().await;
+        }
         if let Some(lease) = self.lease {
             // If this fails, the lease expires by itself.
             let _ = self.shared.store.call(&Call::End { lease }).await;
         }
     }
 }
+
+fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
+    match serde_json::to_vec(value) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::error!(error:% = error; "value for the store could not be encoded as JSON");
+            None
+        }
+    }
+}
--- a/src/mesh/store_watcher.rs
+++ b/src/mesh/store_watcher.rs
@@ -12,7 +12,7 @@
     change_feed::{Position, SourceSelector, WATCH_PAUSE},
     members::NodeRecord,
     rollout::RolloutPlan,
-    upstream::Announcement,
+    upstream::{Announcement, Incarnation},
 };
 use oleandertiller_model::{Clock, ServiceName, ZoneName, codec};
 use oleandertiller_platform::{
@@ -28,7 +28,7 @@
     daemon::Shared,
     deployment_state::ReceivedOrder,
     leadership::{LEADER_PREFIX, read_leadership},
-    registration::RECORD_PREFIX,
+    registration::{DEPARTURE_PREFIX, RECORD_PREFIX},
     store::StoreError,
     usage_view::{USAGE_KEY, read_usage_state},
 };
@@ -365,6 +365,10 @@
         if !keys.contains(&USAGE_KEY) {
             deployment.usage.on_removed(u64::MAX);
         }
+        drop(deployment);
+        if !is_listed(DEPARTURE_PREFIX, self.shared.settings.node.name.as_str()) {
+            self.shared.set_stored_departure(None);
+        }
     }
 
     fn apply_put(&mut self, item: Item) {
@@ -373,6 +377,8 @@
             self.apply_config(&item);
         } else if let Some(node) = key.strip_prefix(RECORD_PREFIX) {
             self.apply_record(node, &item);
+        } else if let Some(node) = key.strip_prefix(DEPARTURE_PREFIX) {
+            self.apply_departure(node, &item);
         } else if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
             let previous =
                 self.shared.deployment().evacuated.insert(ZoneName::new(zone), item.revision);
@@ -407,10 +413,15 @@
         let now = self.shared.clock.now();
         if let Some(node) = key.strip_prefix(RECORD_PREFIX) {
             log::info!(peer = node; "record of a node removed");
-            if node == self.shared.settings.node.name.as_str() {
+            if self.is_own(node) {
                 self.shared.rewrite();
             }
             self.shared.deployment().members.remove(key, now);
+        } else if let Some(node) = key.strip_prefix(DEPARTURE_PREFIX) {
+            if self.is_own(node) {
+                self.shared.set_stored_departure(None);
+                self.shared.record_changed();
+            }
         } else if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
             log::info!(zone = zone; "zone is back in service");
             self.shared.deployment().evacuated.remove(zone);
@@ -488,6 +499,29 @@
         self.shared.deployment().members.put(&item.key, record);
     }
 
+    /// Applies the departure of this node's upstream, which this process or an earlier one wrote.
+    fn apply_departure(&self, node: &str, item: &Item) {
+        if !self.is_own(node) {
+            return;
+        }
+        match serde_json::from_slice::<Incarnation>(&item.value) {
+            Ok(departure) => {
+                if self.shared.owner.departure().as_ref() != Some(&departure) {
+                    self.shared.owner.recall_departure(&departure);
+                }
+                self.shared.set_stored_departure(Some(departure));
+                // A late write may have replaced a later departure.
+                self.shared.record_changed();
+            }
+            Err(error) => log::warn!(error:% = error;
+                "stored departure of the upstream could not be decoded"),
+        }
+    }
+
+    fn is_own(&self, node: &str) -> bool {
+        node == self.shared.settings.node.name.as_str()
+    }
+
     fn apply_order(&self, item: &Item) {
         match rollout::read_order(&item.value) {
             Ok(order) => {
--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -42,7 +42,8 @@
     child: Option<Child>,
     lines: Arc<Mutex<Vec<Value>>>,
     sequence: u64,
-    born: u64,
+    /// Start of the upstream that its announcements name, in milliseconds.
+    pub born: u64,
 }
 
 impl Drop for Member {
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_upstreams;
 mod deadly_requests;
+mod departures;
 mod deployment;
 mod failing_upstream;
 mod fleet;
