Take the ports of started nodes from a reserved block in the tests of the command line

json_log_lines_have_the_attributes failed once in a run of the suites. Repeated 240 times, six at once, with the line printed, it failed once more: 'the node failed: Address already in use'. Blocks of ports below that range, reserved until the node has ended, are what the other tests use. The test itself is unchanged.

--- a/tests/cli/commands.rs
+++ b/tests/cli/commands.rs
@@ -10,6 +10,8 @@
     time::{Duration, Instant},
 };
 
+use oleandertiller_standin::ports::PortBlock;
+
 use crate::settings::TUUL;
 
 fn binary() -> Command {
@@ -155,18 +157,14 @@
     assert!(json["missing"][&closed].is_string(), "{json}");
 }
 
-/// Replaces each port of the example by a free one, so that tests can run in parallel.
-fn with_free_ports(settings: &str) -> String {
+/// Replaces each port of the example by one of `ports`, so that tests can run in parallel.
+fn with_free_ports(settings: &str, ports: &mut PortBlock) -> String {
     const LOOPBACK: &str = "127.0.0.1:";
     let mut parts = settings.split(LOOPBACK);
     let mut text = parts.next().unwrap().to_owned();
-    // All sockets stay open until the last port is known, so that no port is used twice.
-    let mut held = Vec::new();
     for part in parts {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let rest = part.trim_start_matches(|c: char| c.is_ascii_digit());
-        text.push_str(&format!("{}{rest}", listener.local_addr().unwrap()));
-        held.push(listener);
+        text.push_str(&format!("{}{rest}", ports.next_address().unwrap()));
     }
     text
 }
@@ -175,19 +173,21 @@
 struct Node {
     child: Child,
     stderr: BufReader<ChildStderr>,
+    _ports: PortBlock,
 }
 
 impl Node {
     fn start(dir: &Path, settings: &str) -> Self {
         let file = dir.join("node.ini");
-        fs::write(&file, with_free_ports(settings)).unwrap();
+        let mut ports = PortBlock::reserve();
+        fs::write(&file, with_free_ports(settings, &mut ports)).unwrap();
         let mut child = binary()
             .args(["node", "--settings", file.to_str().unwrap()])
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
-        let mut node = Self { child, stderr };
+        let mut node = Self { child, stderr, _ports: ports };
         assert!(node.line().contains("starting"));
         assert!(node.line().contains("running"));
         node
