Count a response that ends with its connection only if the request was written without an error

The client got the part as a complete response.

Cause: a socket reports a reset once. The writer, which is polled first, took the error; the reader went on, since a response that was sent before the upstream stopped reading counts, and saw an ordinary end of the connection, which in this framing is the end of the body.

Change: after a failed write a response counts only if its framing shows that it is complete; otherwise the outcome is unknown (truncated-answer): an unsafe request gets 502, one that may be repeated goes to another upstream. It works in any order of the two reports, since it no longer infers the end from a missing error.

Measured: both tests of tests/mesh/broken_responses.rs failed before ('part of the body' as a complete response, status 200 at the client).

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -7,7 +7,7 @@
 mod server;
 
 pub use client::{Client, ClientReply, Pool};
-pub use server::{Call, Handler, Server, StatusLine, StopHandle};
+pub use server::{Call, Handler, RawAnswer, RawRest, Server, StatusLine, StopHandle};
 pub use tide::http::{Method, Response, StatusCode};
 
 /// Creates a response with status 200 and a JSON body.
--- a/crates/standin/src/http/server.rs
+++ b/crates/standin/src/http/server.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_h1::server::{Encoder, decode};
@@ -12,6 +13,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, JoinHandle};
 use futures_util::future::{Either, select};
+use socket2::SockRef;
 use tide::http::{Method, Request, Response, StatusCode};
 
 /// A received request, with its complete body.
@@ -45,12 +47,50 @@
 #[derive(Clone, Debug)]
 pub struct StatusLine(pub String);
 
+/// Bytes that are sent in place of a response, before the body of the request is read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawAnswer {
+    /// First bytes.
+    pub head: Vec<u8>,
+    /// What follows them.
+    pub rest: RawRest,
+}
+
+/// What follows the first bytes of a [`RawAnswer`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RawRest {
+    /// The connection is reset after a while.
+    Reset(Duration),
+    /// These bytes, again and again until the client closes the connection.
+    Repeat(Vec<u8>),
+}
+
+impl RawAnswer {
+    async fn send(self, mut stream: TcpStream) -> io::Result<()> {
+        stream.write_all(&self.head).await?;
+        match self.rest {
+            RawRest::Reset(after) => {
+                task::sleep(after).await;
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+            }
+            RawRest::Repeat(bytes) => loop {
+                stream.write_all(&bytes).await?;
+            },
+        }
+    }
+}
+
 /// Answers the requests of a [`Server`].
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to a request, or `None` to close the connection without one. If the
     /// client closes the connection, the future is dropped, which cancels the request.
     fn handle(&self, call: Call) -> impl Future<Output = Option<Response>> + Send;
 
+    /// Returns what is sent in place of a response to a request with this head, if that is so.
+    fn raw_answer(&self, _head: &Request) -> Option<RawAnswer> {
+        None
+    }
+
     /// Returns whether a new connection is kept, given the number of open ones including it.
     fn accepts_connection(&self, _open: usize) -> bool {
         true
@@ -141,7 +181,11 @@
     stream.set_nodelay(true)?;
     handler.on_connect().await;
     loop {
-        let Some(call) = receive(&mut stream).await? else { return Ok(()) };
+        let Some(head) = receive_head(&mut stream).await? else { return Ok(()) };
+        if let Some(answer) = handler.raw_answer(&head) {
+            return answer.send(stream).await;
+        }
+        let Some(call) = receive_body(head).await else { return Ok(()) };
         let method = call.head.method();
         let close = call.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
         let Some(res) = respond(handler, call, &stream).await else { return Ok(()) };
@@ -162,23 +206,23 @@
     }
 }
 
-async fn receive(stream: &mut TcpStream) -> io::Result<Option<Call>> {
-    let mut head = match decode(stream.clone()).await {
-        Ok(Some((head, _))) => head,
-        Ok(None) => return Ok(None),
+async fn receive_head(stream: &mut TcpStream) -> io::Result<Option<Request>> {
+    match decode(stream.clone()).await {
+        Ok(head) => Ok(head.map(|(head, _)| head)),
         Err(e) => {
             let res = super::text(StatusCode::BadRequest, e.to_string());
             send(stream, res, Method::Get).await?;
-            return Ok(None);
+            Ok(None)
         }
-    };
-    let content_length = head.len();
-    let Ok(body) = head.body_bytes().await else { return Ok(None) };
-    // A truncated body is never passed to the handler.
-    if content_length.is_some_and(|len| len != body.len()) {
-        return Ok(None);
     }
-    Ok(Some(Call { head, body }))
+}
+
+/// Returns a request with its body, or `None` if that is truncated.
+async fn receive_body(mut head: Request) -> Option<Call> {
+    let content_length = head.len();
+    let body = head.body_bytes().await.ok()?;
+    let complete = content_length.is_none_or(|len| len == body.len());
+    complete.then_some(Call { head, body })
 }
 
 async fn send(stream: &mut TcpStream, res: Response, method: Method) -> io::Result<()> {
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -13,9 +13,9 @@
 };
 
 use async_std::task;
-use tide::http::{Response, StatusCode};
+use tide::http::{Request, Response, StatusCode};
 
-use crate::http::{Call, Handler, Server, StatusLine, StopHandle, text};
+use crate::http::{Call, Handler, RawAnswer, Server, StatusLine, StopHandle, text};
 
 /// Ratio of the service time of a slow run to the usual one.
 const SLOW_FACTOR: u32 = 6;
@@ -49,6 +49,8 @@
     pub leaving: bool,
     /// Path and query of the requests on which it ends.
     pub ends_on: Option<String>,
+    /// What it sends in place of responses; `{id}` in the first bytes stands for the request's id.
+    pub raw_answer: Option<RawAnswer>,
 }
 
 impl Default for MeshUpstreamBehaviour {
@@ -68,6 +70,7 @@
             request_limit: None,
             leaving: false,
             ends_on: None,
+            raw_answer: None,
         }
     }
 }
@@ -217,6 +220,14 @@
 }
 
 impl Handler for RequestHandler {
+    fn raw_answer(&self, head: &Request) -> Option<RawAnswer> {
+        let RawAnswer { head: bytes, rest } = lock(&self.0.behaviour).raw_answer.clone()?;
+        let id = head.header("Oleandertiller-Attempt-Id").map_or("", |values| values.as_str());
+        // Health checks have no id and are answered as usual.
+        let text = String::from_utf8_lossy(&bytes).replace("{id}", id);
+        (!id.is_empty()).then(|| RawAnswer { head: text.into_bytes(), rest })
+    }
+
     async fn handle(&self, call: Call) -> Option<Response> {
         let behaviour = lock(&self.0.behaviour).clone();
         if call.path() == "health" {
--- a/src/mesh/upstream.rs
+++ b/src/mesh/upstream.rs
@@ -15,7 +15,7 @@
 use super::{
     body::{Body, BodyLimits},
     http::{
-        HttpConn, HttpError, ResponseHead, announces_forbidden_body, encode_request,
+        Framing, HttpConn, HttpError, ResponseHead, announces_forbidden_body, encode_request,
         response_framing, write_message,
     },
     message::Response,
@@ -114,6 +114,10 @@
 ///
 /// A connection is not reused if the response arrives before the request is written completely,
 /// since the upstream may still wait for the rest, or if a body may follow that the status rules out.
+/// Such an early response counts only if its framing shows that it is complete: when the upstream
+/// resets the connection, the failed write takes the socket's error, and the reader sees an ordinary
+/// end of the connection.
+///
 /// Responses with another id belong to earlier requests and are skipped; so are refusals without an
 /// id on a connection that was used before, which may be those of earlier requests.
 ///
@@ -130,12 +134,20 @@
     let PooledConn { mut conn, reused } = pooled;
     let mut writer = conn.writer();
     let lost = ExchangeError { why: ErrorKind::ConnectionLost, response_started: false };
+    let truncated = ExchangeError { why: ErrorKind::TruncatedAnswer, response_started: true };
     let write = Box::pin(async move { write_message(&mut writer, head, body).await });
     let read = Box::pin(read_response_to(&mut conn, id, reused, limits));
     let (result, written) = match select(write, read).await {
         Either::Left((Ok(()), read)) => (read.await, true),
-        // A response that the upstream sent before it stopped reading still counts.
-        Either::Left((Err(_), read)) => (read.await.map_err(|_| lost), false),
+        Either::Left((Err(error), read)) => {
+            log::info!(id = id, error:% = error;
+                "upstream closed the connection while the request was being written");
+            let result = match read.await {
+                Ok((head, _)) if ends_with_connection(&head) => Err(truncated),
+                result => result.map_err(|_| lost),
+            };
+            (result, false)
+        }
         Either::Right((result, _)) => (result, false),
     };
     let (head, body) = result?;
@@ -146,9 +158,12 @@
 }
 
 fn has_delimited_body(head: &ResponseHead) -> bool {
-    use super::http::Framing;
-    !matches!(response_framing(head.status, &head.headers), Ok(Framing::UntilClose) | Err(_))
-        && !announces_forbidden_body(head.status, &head.headers)
+    !ends_with_connection(head) && !announces_forbidden_body(head.status, &head.headers)
+}
+
+/// Returns whether only the end of the connection tells where the body ends.
+fn ends_with_connection(head: &ResponseHead) -> bool {
+    matches!(response_framing(head.status, &head.headers), Ok(Framing::UntilClose) | Err(_))
 }
 
 /// Returns how long a connection may idle after a response.
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -1,5 +1,6 @@
 //! The mesh node: its parts on loopback sockets, and whole processes against stand-ins.
 
+mod broken_responses;
 mod cold_upstreams;
 mod deadly_requests;
 mod departures;
