Let other tasks run while a body in small chunks is read

What callers saw (reported by operators of similar systems; shown here by a test): while an upstream answered with chunks of one byte without end, requests of other clients of the same node, to another service, had no answer within 3 s. That the process runs out of memory was looked for and not found.

Cause: the reader never waits while input is ready, and each line of a chunk was allocated, so one task read up to the limit of 1 MiB in one go; 48 of them held up the executor for 8 s.

Change: the reader lets other tasks run after 256 chunks, and parses lines in its buffer. It works since the executor's other tasks wait for a few hundred chunks of each such body and no longer for all of it. The bodies of clients are read by the same code; other loops that a peer can keep going end after a few KB.

The stand-ins have the habits of answers and store answers without end; fifteen kinds are tried, as responses and in health checks, besides the store and the control port.

--- a/crates/standin/src/platform/kv_store.rs
+++ b/crates/standin/src/platform/kv_store.rs
@@ -13,9 +13,9 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use event_listener::Event;
 use serde_json::{Value, json};
-use tide::http::{Response, StatusCode};
+use tide::http::{Request, Response, StatusCode};
 
-use crate::http::{Call, Handler, Server, json as json_response, text};
+use crate::http::{Call, Handler, RawAnswer, RawRest, Server, json as json_response, text};
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     Busy,
     /// Closes the connection of each call without an answer.
     Reset,
+    /// Answers every call with a body without end.
+    Endless,
 }
 
 /// What becomes of a transaction whose answer is lost.
@@ -351,6 +353,14 @@
 struct RequestHandler(Arc<Shared>);
 
 impl Handler for RequestHandler {
+    fn raw_answer(&self, _head: &Request) -> Option<RawAnswer> {
+        let endless = self.0.lock().outage == Outage::Endless;
+        endless.then(|| RawAnswer {
+            head: b"HTTP/1.1 200 OK\r\n\r\n".to_vec(),
+            rest: RawRest::Repeat(vec![b'x'; 16 << 10]),
+        })
+    }
+
     async fn handle(&self, call: Call) -> Option<Response> {
         let outage = {
             let mut state = self.0.lock();
@@ -361,7 +371,8 @@
             Outage::None => {}
             Outage::Silent => pending().await,
             Outage::Busy => return Some(text(StatusCode::ServiceUnavailable, "busy")),
-            Outage::Reset => return None,
+            // The latter has been answered before its body was read.
+            Outage::Reset | Outage::Endless => return None,
         }
         if call.path() == "api/kv-txn" {
             self.lose_answer(&call).await;
--- a/crates/standin/src/platform/mesh_upstream.rs
+++ b/crates/standin/src/platform/mesh_upstream.rs
@@ -51,6 +51,8 @@
     pub ends_on: Option<String>,
     /// What it sends in place of responses; `{id}` in the first bytes stands for the request's id.
     pub raw_answer: Option<RawAnswer>,
+    /// What it sends in place of responses to health checks.
+    pub raw_health: Option<RawAnswer>,
 }
 
 impl Default for MeshUpstreamBehaviour {
@@ -71,6 +73,7 @@
             leaving: false,
             ends_on: None,
             raw_answer: None,
+            raw_health: None,
         }
     }
 }
@@ -221,11 +224,14 @@
 
 impl Handler for RequestHandler {
     fn raw_answer(&self, head: &Request) -> Option<RawAnswer> {
-        let RawAnswer { head: bytes, rest } = lock(&self.0.behaviour).raw_answer.clone()?;
+        let behaviour = lock(&self.0.behaviour);
+        if head.url().path() == "/health" {
+            return behaviour.raw_health.clone();
+        }
+        let RawAnswer { head: bytes, rest } = behaviour.raw_answer.clone()?;
         let id = head.header("Oleandertiller-Attempt-Id").map_or("", |values| values.as_str());
-        // Health checks have no id and are answered as usual.
-        let text = String::from_utf8_lossy(&bytes).replace("{id}", id);
-        (!id.is_empty()).then(|| RawAnswer { head: text.into_bytes(), rest })
+        let head = String::from_utf8_lossy(&bytes).replace("{id}", id).into_bytes();
+        Some(RawAnswer { head, rest })
     }
 
     async fn handle(&self, call: Call) -> Option<Response> {
--- a/src/mesh/http/read_body.rs
+++ b/src/mesh/http/read_body.rs
@@ -1,5 +1,6 @@
 //! Reading of bodies, in buffers that are in the account of their holder.
 
+use async_std::task;
 use futures_util::AsyncReadExt;
 
 use super::{Framing, HttpConn, HttpError};
@@ -15,6 +16,10 @@
 /// Maximum length of the line with a chunk's size, in bytes; it may have extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Number of chunks after which the reader lets other tasks run. A peer that always has input ready
+/// would otherwise keep the executor busy for a whole body, whose chunks may be of one byte.
+const CHUNKS_PER_TURN: usize = 256;
+
 /// Maximum length of all trailer lines after a chunked body, in bytes.
 const MAX_TRAILER_BYTES: usize = 8 << 10;
 
@@ -69,7 +74,10 @@
     async fn read_chunks(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
         self.grow_input(CHUNKED_INPUT_BYTES, 1)?;
         let mut body = BodyBuilder::new(limits, 0);
-        loop {
+        for chunk in 1_usize.. {
+            if chunk % CHUNKS_PER_TURN == 0 {
+                task::yield_now().await;
+            }
             let size = self.read_chunk_size().await?;
             if size > limits.max() - body.received() {
                 return Err(HttpError::BodyTooLarge);
@@ -78,17 +86,19 @@
                 break;
             }
             self.read_exact_into(&mut body, size).await?;
-            if !self.read_line(0).await?.is_empty() {
+            if self.wait_for_line(0).await? > 0 {
                 return Err(HttpError::Malformed);
             }
+            self.consume_line(0);
         }
         let mut trailer_bytes = 0;
         loop {
-            let line = self.read_line(MAX_TRAILER_BYTES).await?;
-            if line.is_empty() {
+            let len = self.wait_for_line(MAX_TRAILER_BYTES).await?;
+            self.consume_line(len);
+            if len == 0 {
                 return Ok(body.finish());
             }
-            trailer_bytes += line.len();
+            trailer_bytes += len;
             if trailer_bytes > MAX_TRAILER_BYTES {
                 return Err(HttpError::Malformed);
             }
@@ -96,23 +106,25 @@
     }
 
     async fn read_chunk_size(&mut self) -> Result<usize, HttpError> {
-        let line = self.read_line(MAX_CHUNK_LINE_BYTES).await?;
+        let len = self.wait_for_line(MAX_CHUNK_LINE_BYTES).await?;
+        let line = &self.input[self.start..self.start + len];
         let size = line.split(|b| *b == b';').next().unwrap_or_default();
         let size = std::str::from_utf8(size).map_err(|_| HttpError::Malformed)?.trim();
         if size.is_empty() || !size.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(HttpError::Malformed);
         }
-        usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)
+        let size = usize::from_str_radix(size, 16).map_err(|_| HttpError::Malformed)?;
+        self.consume_line(len);
+        Ok(size)
     }
 
-    /// Reads a line of at most about `max` bytes and returns it without its line end.
-    async fn read_line(&mut self, max: usize) -> Result<Vec<u8>, HttpError> {
+    /// Waits until the input buffer starts with a line of at most about `max` bytes; returns its
+    /// length without the line end.
+    async fn wait_for_line(&mut self, max: usize) -> Result<usize, HttpError> {
         loop {
             let input = &self.input[self.start..self.end];
-            if let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") {
-                let line = input[..end].to_vec();
-                self.start += end + 2;
-                return Ok(line);
+            if let Some(len) = input.windows(2).position(|pair| pair == b"\r\n") {
+                return Ok(len);
             }
             if input.len() > max + 1 {
                 return Err(HttpError::Malformed);
@@ -123,6 +135,11 @@
         }
     }
 
+    /// Consumes a line of `len` bytes with its line end.
+    fn consume_line(&mut self, len: usize) {
+        self.start += len + 2;
+    }
+
     async fn read_exact_into(
         &mut self,
         body: &mut BodyBuilder<'_>,
--- a/tests/mesh/broken_responses.rs
+++ b/tests/mesh/broken_responses.rs
@@ -12,7 +12,7 @@
 use oleandertiller_model::ErrorKind;
 use oleandertiller_standin::{
     http::{RawAnswer, RawRest},
-    platform::MeshUpstream,
+    platform::{MeshUpstream, answer_with_reset},
 };
 use serde_json::json;
 
@@ -24,13 +24,8 @@
 /// Time for which the upload is blocked before the reset.
 const RESET_DELAY: Duration = Duration::from_millis(150);
 
-/// Returns a response to a request that is still being written, which ends with a reset.
 fn early_response(framing: &str, body: &str) -> RawAnswer {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nOleandertiller-Attempt-Id: {{id}}\r\n\
-         Oleandertiller-Response-Signature: s\r\n{framing}\r\n{body}"
-    );
-    RawAnswer { head: head.into_bytes(), rest: RawRest::Reset(RESET_DELAY) }
+    answer_with_reset(framing, body, RESET_DELAY)
 }
 
 async fn upload_to(answer: RawAnswer) -> Result<Exchange, ExchangeError> {
--- a/tests/mesh/fleet.rs
+++ b/tests/mesh/fleet.rs
@@ -42,6 +42,8 @@
     child: Option<Child>,
     lines: Arc<Mutex<Vec<Value>>>,
     sequence: u64,
+    /// Number of requests that its upstream says it runs concurrently.
+    pub slots: usize,
     /// Start of the upstream that its announcements name, in milliseconds.
     pub born: u64,
 }
@@ -113,6 +115,13 @@
         ["/proc", &id.to_string(), name].iter().collect()
     }
 
+    /// Returns the most memory that the process has used, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(self.proc_path("status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches("kB").trim().parse().unwrap()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
@@ -156,7 +165,7 @@
         self.sequence += 1;
         let body = json!({
             "service": self.service, "address": self.upstream_addr().to_string(),
-            "zone": self.zone, "version": self.version, "slots": 4, "state": state,
+            "zone": self.zone, "version": self.version, "slots": self.slots, "state": state,
             "coldRemainingMs": cold_for.as_millis() as u64, "sequence": self.sequence, "born": self.born,
         });
         let path = format!("/api/instances/{}", self.upstream.id());
@@ -285,9 +294,18 @@
 
     /// Starts `count` nodes with further lines in their section `[node]`.
     pub async fn start_limited(count: usize, node_settings: &str, config: &Value) -> Self {
-        let specs = vec![DEFAULT_MEMBER; count];
+        Self::start_limited_specs(&vec![DEFAULT_MEMBER; count], node_settings, config).await
+    }
+
+    /// Starts the nodes of a deployment with further lines in their section `[node]`, and waits until
+    /// all are ready and know each other.
+    pub async fn start_limited_specs(
+        specs: &[MemberSpec],
+        node_settings: &str,
+        config: &Value,
+    ) -> Self {
         let reader = StdoutReader::Running;
-        let mut fleet = Self::launch_specs(&specs, config, reader, false, node_settings).await;
+        let mut fleet = Self::launch_specs(specs, config, reader, false, node_settings).await;
         fleet.wait_until_ready().await;
         fleet
     }
@@ -406,6 +424,7 @@
             child: None,
             lines: Arc::default(),
             sequence: 0,
+            slots: 4,
             born: 1_000,
         }
     }
--- a/tests/mesh/main.rs
+++ b/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod deadly_requests;
 mod departures;
 mod deployment;
+mod endless_bytes;
 mod failing_upstream;
 mod fleet;
 mod http;
--- a/tests/mesh/untrusted_clients.rs
+++ b/tests/mesh/untrusted_clients.rs
@@ -83,16 +83,6 @@
     fs::read_dir(fleet.members[0].proc_path("fd")).map_or(0, Iterator::count)
 }
 
-fn peak_memory_kb(fleet: &Fleet) -> u64 {
-    peak_memory_kb_of(&fleet.members[0])
-}
-
-fn peak_memory_kb_of(member: &Member) -> u64 {
-    let status = fs::read_to_string(member.proc_path("status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    line.trim().trim_end_matches("kB").trim().parse().unwrap()
-}
-
 /// Sends the parts that `client` returns for each connection of the crowd, all at once, and checks
 /// the process while the connections are still open.
 fn check_crowd<I: Iterator<Item = Vec<u8>> + Send + 'static>(client: impl Fn(usize) -> I) {
@@ -102,7 +92,7 @@
         let settings = format!("memory-mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n");
         let mut fleet = Fleet::start_limited(2, &settings, &limits).await;
         let ingress = fleet.members[0].ingress;
-        let before_kb = peak_memory_kb(&fleet);
+        let before_kb = fleet.members[0].peak_memory_kb();
         let crowd: Vec<_> = (0..CROWD).map(|n| task::spawn(send(ingress, client(n)))).collect();
         let crowd = task::spawn(async {
             let mut connections = Vec::new();
@@ -127,7 +117,7 @@
         let response =
             call(ingress, "POST", "/release/1", "shop.example", &ids, &[b'x'; 2_000]).await;
         most_descriptors = most_descriptors.max(descriptors(&fleet));
-        let peak_kb = peak_memory_kb(&fleet);
+        let peak_kb = fleet.members[0].peak_memory_kb();
         drop(connections);
         let status = response.map(|response| response.status);
         println!(
@@ -208,7 +198,7 @@
             let ingress = fleet.members[0].ingress;
             let response = call(ingress, "POST", "/release/1", "shop.example", &ids, &body).await;
             assert_eq!(response.map(|response| response.status), Some(200), "{id}");
-            let peaks: Vec<u64> = fleet.members.iter().map(peak_memory_kb_of).collect();
+            let peaks: Vec<u64> = fleet.members.iter().map(Member::peak_memory_kb).collect();
             println!("{id}: {peaks:?} kB at most");
             assert!(peaks.iter().all(|kb| *kb < MACHINE_MB * 1_000), "{id}: {peaks:?} kB");
             let runs = fleet.members.iter().flat_map(|member| member.upstream.runs());
