Refuse waiting requests also when an update of the upstream changes its service

An announcement of the same incarnation with another service or version left the waiting requests in the queue until their wait was over; they could not run any more since the owner looks at the upstream after the wait. They are refused at once, as at a takeover of the address. Besides, the return value of on_leave that nobody uses is gone.

--- a/src/mesh/http/read_body.rs
+++ b/src/mesh/http/read_body.rs
@@ -74,8 +74,8 @@
     async fn read_chunks(&mut self, limits: &BodyLimits) -> Result<Body, HttpError> {
         self.grow_input(CHUNKED_INPUT_BYTES, 1)?;
         let mut body = BodyBuilder::new(limits, 0);
-        for chunk in 1_usize.. {
-            if chunk % CHUNKS_PER_TURN == 0 {
+        for count in 1_usize.. {
+            if count % CHUNKS_PER_TURN == 0 {
                 task::yield_now().await;
             }
             let size = self.read_chunk_size().await?;
--- a/src/mesh/owner.rs
+++ b/src/mesh/owner.rs
@@ -192,7 +192,7 @@
                 self.metrics.set_request_limit(None);
                 self.pool.clear();
             }
-            if outcome == AnnouncementOutcome::Replaced && !runs_same {
+            if is_newest && !runs_same {
                 let refused = inner.refuse_waiting(ErrorKind::NoUpstream);
                 log::info!(upstream = &*id, service = service.as_str(), refused = refused,
                     previous = previous.as_ref().map_or("", |previous| &*previous.incarnation.id);
@@ -210,14 +210,13 @@
         outcome
     }
 
-    /// Records that an upstream has left; returns whether it is the current one.
-    pub fn on_leave(&self, id: &str, born: Option<u64>) -> bool {
+    /// Records that an upstream has left.
+    pub fn on_leave(&self, id: &str, born: Option<u64>) {
         let current_left = self.lock().upstream.leave(id, born);
         if current_left {
             log::info!(upstream = id, stage:? = Stage::Gone; "upstream announced");
         }
         self.update_admission();
-        current_left
     }
 
     /// Returns the incarnation of the upstream that is leaving or has left, if any.
--- a/src/mesh/registration.rs
+++ b/src/mesh/registration.rs
@@ -1,4 +1,5 @@
-//! Keeps the node's record in the store, under a lease.
+//! Keeps the node's record in the store, under a lease, and the departure of its upstream, which
+//! outlives the process.
 
 use std::{
     sync::Arc,
