review: drop the case that review/9 shows; case 11 becomes case 12

Cause: review/9 shows the same cause as the case of clients that read slowly, and a graver case takes the number 11.

Change: removes the former case 12 and moves the former case 11 there. No product code changes.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-3/standin-3 ] && [ -x target/release/oleandertiller ] || exit 2
-exec target/review-3/standin-3 slow-reader "$folder/record.txt"
+exec target/review-3/standin-3 deadly-answer "$folder/record.txt"
