--- a/review/standin-3/deadly_answer.rs
+++ b/review/standin-3/deadly_answer.rs
@@ -36,11 +36,8 @@
     ];
     let mut fleet = Fleet::new(&config("recipe-svc", &routes));
     let behaviour = Behaviour {
-        work: Duration::from_millis(100),
-        slots: 6,
-        body_bytes: 1_500,
-        fail_each: 0,
         deadly: trouble.then_some(DEADLY),
+        ..Behaviour::sound(Duration::from_millis(100), 6, 1_500)
     };
     for zone in ["bayangol", "sukhbaatar", "khan-uul", "bayangol"] {
         fleet.add(zone, "recipe-svc", "v1", behaviour.clone());
@@ -98,7 +95,7 @@
                 Some(at) if now > crashed[at].1 + BACK_AFTER => {
                     past_runs.extend(node.server.runs());
                     let id = format!("i-{index}-{}", crashes.len());
-                    node.server = node.server.start_again(&id);
+                    node.server = node.server.start_again(&id, behaviour.clone());
                     record.line(&format!("server {id} is back"));
                     crashed.remove(at);
                 }
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -75,6 +75,10 @@
         }
     }
 
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = call(
             self.ready,
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -92,11 +92,6 @@
         Ok(())
     }
 
-    /// Consumes the input that is buffered; returns its length.
-    pub fn take_input(&mut self) -> usize {
-        std::mem::take(&mut self.input).len()
-    }
-
     pub fn read(&mut self) -> io::Result<Option<Message>> {
         let Some(mut message) = self.read_head()? else { return Ok(None) };
         self.read_body(&mut message)?;
--- a/review/standin-3/late_heartbeat.rs
+++ b/review/standin-3/late_heartbeat.rs
@@ -32,13 +32,7 @@
         ("ingredient-release", "unsafe", "/release/", 800, 2_500),
     ];
     let mut fleet = Fleet::new(&config("recipe-svc", &routes));
-    let behaviour = Behaviour {
-        work: Duration::from_millis(290),
-        slots: 6,
-        body_bytes: 1_500,
-        fail_each: 0,
-        deadly: None,
-    };
+    let behaviour = Behaviour::sound(Duration::from_millis(290), 6, 1_500);
     for zone in ["bayangol", "sukhbaatar", "khan-uul"] {
         fleet.add(zone, "recipe-svc", "v1", behaviour.clone());
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,12 +3,12 @@
 
 mod deadly_answer;
 mod fleet;
+mod held_bytes;
 mod http;
 mod json;
 mod late_heartbeat;
 mod next_order;
 mod server;
-mod slow_reader;
 mod store;
 
 fn main() {
@@ -18,8 +18,8 @@
     let record = fleet::Record::create(record);
     let run = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "deadly-answer" => deadly_answer::run(&record, trouble),
-        "slow-reader" => slow_reader::run(&record, trouble),
         "next-order" => next_order::run(&record, trouble),
+        "held-bytes" => held_bytes::run(&record, trouble),
         "late-heartbeat" => late_heartbeat::run(&record, trouble),
         _ => fleet::cannot_run("no such case"),
     }));
--- a/review/standin-3/next_order.rs
+++ b/review/standin-3/next_order.rs
@@ -40,13 +40,7 @@
         ("book-chest", "unsafe", "/book/", 500, 4_000),
     ];
     let mut fleet = Fleet::new(&config(SERVICE, &routes));
-    let good = Behaviour {
-        work: Duration::from_millis(160),
-        slots: 12,
-        body_bytes: 400,
-        fail_each: 0,
-        deadly: None,
-    };
+    let good = Behaviour::sound(Duration::from_millis(160), 12, 400);
     // Half of the bookings fail, on this route only.
     let bad = Behaviour { fail_each: 2, ..good.clone() };
     let zones = ["shore-one", "shore-two", "shore-three", "shore-one"];
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -25,6 +25,13 @@
     pub deadly: Option<&'static str>,
 }
 
+impl Behaviour {
+    /// Returns a sound server.
+    pub fn sound(work: Duration, slots: u32, body_bytes: usize) -> Self {
+        Self { work, slots, body_bytes, fail_each: 0, deadly: None }
+    }
+}
+
 /// A request that a server has begun to run.
 #[derive(Clone)]
 pub struct Run {
@@ -116,9 +123,9 @@
         server
     }
 
-    /// Starts a server again at the address of one that has ended, under another id.
-    pub fn start_again(&self, id: &str) -> Self {
-        let Shared { service, version, zone, address, control, behaviour, .. } = &*self.0;
+    /// Starts a server again at the address of one that has ended.
+    pub fn start_again(&self, id: &str, behaviour: Behaviour) -> Self {
+        let Shared { service, version, zone, address, control, .. } = &*self.0;
         let identity = Identity {
             id: id.to_owned(),
             service: service.clone(),
@@ -128,7 +135,7 @@
             address: *address,
             control: *control,
         };
-        Self::start(identity, behaviour.clone())
+        Self::start(identity, behaviour)
     }
 
     pub fn id(&self) -> &str {
